--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,1024 @@
+// The decisions of one director. How to call it: Start hands over the settings and a Front; then
+// List, Req, Purge, Outcome, Timer and Left tell what happens, one call each, with the time since
+// the start. Every answer goes out through the Front at once. The interface is in types.go.
+// Ordinary path: route. Its parts follow in the order in which a req meets them.
+package control
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+// Tuned values. Each holds for every deployment.
+const (
+	period      = 500 * time.Millisecond // diffusion: a few reqs of each cache fall into one period
+	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long enough to rise
+	loadBuckets = 4                      // over the noise of single reqs, short against a hot object's stay
+	hotShare    = 0.01                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
+	leastAway   = 0.25                   // a hot object's part outside its home, whatever the gap
+	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
+	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
+	tableSize   = 8192                   // objects
+	crowdTimes  = 2.0                    // a cache is crowded at this multiple of its peers' mean dispatches out
+	crowdPlus   = 4                      // and this many more: a few are chance
+	leastWait   = 400 * time.Millisecond // no dispatch is overdue before this: pauses are shorter
+	mostWait    = 2500 * time.Millisecond
+	waitDevs    = 4                    // an overdue dispatch took this many mean deviations over the mean
+	silentAt    = 3                    // overdue dispatches since the last sign of life that mean silence
+	badAt       = 3                    // failures that are not chance
+	badOver     = 0.3                  // share of failures above the fleet's median
+	asideFor    = 2 * time.Second      // set aside for this and up to half as much again by chance
+	trialSteps  = 12                   // good answers after which a returned machine carries all again
+	coldSafety  = 0.5                  // part of a cold machine's budget that is used: capacity is a guess
+	againEach   = 0.15                 // further dispatches earned by each req
+	againMost   = 25                   // and saved up: a cache's worth of reqs
+	answerEarly = 6 * time.Millisecond // the last answer leaves this long before the client timeout
+	settle      = 1.0 / 16             // weight of one more sample in what is smoothed
+	restless    = 3 * time.Second      // half-life of a source's fill latency that is not renewed
+)
+
+type role uint8
+
+const (
+	cache role = iota
+	parent
+	origin
+	other // caches elsewhere
+)
+
+type node struct {
+	id             uint32
+	role           role
+	zone, cell     int
+	ready          bool
+	booted         bool
+	boot           time.Duration
+	wiped          time.Duration // copies seen before this are gone
+	out            int           // dispatches of ours that it holds
+	limit          int           // most of them while it is on trial; 0: no limit
+	late           int           // overdue since its last sign of life
+	aside          time.Duration // set aside until then
+	wait           time.Duration // source: smoothed fill latency
+	waitAt         time.Duration
+	load           Ring // reqs served: L
+	work, sent     Ring // sending time served; sent while cold
+	ok, bad        Ring
+	hops           int // hubs on the way to a parent
+	atHome, handed float64
+}
+
+type share struct {
+	n    *node
+	part float64
+}
+
+type object struct {
+	id    uint64
+	group uint32
+	asks  Ring
+	seen  int
+	last  time.Duration
+	order []*node // the location's caches, home first
+	as    int     // the list's version that order is of
+	away  []share // what of it goes to others than its home; home has the rest
+	hot   bool
+	send  time.Duration // smoothed sending time
+	parts map[uint32]*part
+}
+
+type copyAt struct {
+	n  *node
+	at time.Duration
+}
+
+type part struct {
+	filling *dispatch // a fill of ours that is under way
+	behind  []*req    // reqs that wait for it
+	held    []copyAt
+}
+
+// state of a req
+type state uint8
+
+const (
+	arrived  state = iota
+	queued         // behind another req's fill of the same part
+	out            // a dispatch is out
+	recalled       // its dispatch is being withdrawn, another follows
+	ended          // the one final answer is given, or the client left
+)
+
+type req struct {
+	id       uint32
+	token    uint32
+	state    state
+	v        *vhost
+	obj      *object
+	part     *part
+	partNo   uint32
+	kb       float64
+	came     time.Duration
+	deadline time.Duration
+	sent     []*dispatch
+	open     int
+	mayRun   *dispatch // the first that is not known never to have run
+	queuedAt time.Duration
+	sure     bool // no more guesses at siblings
+}
+
+type dispatch struct {
+	r           *req
+	number      int
+	node        *node
+	source      *node
+	at, overdue time.Duration
+	expectHit   bool
+	sibling     bool
+	late, over  bool
+}
+
+type vhost struct {
+	Vhost
+	mean, dev float64       // of time taken over time expected
+	send      time.Duration // smoothed sending time of its reqs
+}
+
+// Director decides for one instance.
+type Director struct {
+	front             Front
+	set               settings
+	vhosts            []*vhost
+	nodes             map[uint32]*node
+	caches, parents   []*node // ready, by id
+	origin            *node
+	version           int
+	objects           map[uint64]*object
+	table             []*object // the same, oldest first
+	reqs              map[uint32]*req
+	tokens            map[uint32]*req
+	lastToken         uint32
+	outs              []*dispatch
+	purged            map[uint64]time.Duration // by object: when
+	purgedAll         map[uint32]time.Duration // by group
+	again             float64                  // further dispatches saved up
+	asks              Ring
+	took              float64 // sending time that a warm cache takes of us each second
+	fillTook          float64 // the same for a warm parent's fills
+	counter, identity uint64
+}
+
+// settings are the figures derived from those handed over.
+type settings struct {
+	zone, hub, hubs               int
+	parentKind, originKind        int
+	siblings, mayCancel, comeBack bool
+	maxComeBack                   time.Duration
+	maxDispatches                 int
+	kbPerMilli                    float64
+	cache, parent                 Cold
+	purgeSettles                  time.Duration
+	hubOf                         []int
+}
+
+// Start makes a director that knows nothing yet.
+func Start(s Settings, f Front) *Director {
+	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{}, again: againMost,
+		reqs: map[uint32]*req{}, tokens: map[uint32]*req{}, purged: map[uint64]time.Duration{},
+		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
+	d.identity = s.Seed ^ uint64(s.Me)<<48
+	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
+		siblings: s.Siblings, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
+		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
+		purgeSettles: s.PurgeSettles}
+	if s.Zone < len(s.Hub) {
+		d.set.hub = s.Hub[s.Zone]
+	}
+	for _, h := range s.Hub {
+		d.set.hubs = max(d.set.hubs, h+1)
+	}
+	for _, v := range s.Vhosts {
+		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: 0.5, send: v.Aim / 4})
+	}
+	f.After(period, 0)
+	return d
+}
+
+// Vhosts is how many vhosts the settings named.
+func (d *Director) Vhosts() int { return len(d.vhosts) }
+
+// Req takes a client's req; from here on it is owed one final answer.
+func (d *Director) Req(now time.Duration, a Ask) {
+	d.lastToken++
+	r := &req{id: a.ID, token: d.lastToken, v: d.vhosts[a.Vhost], partNo: a.Part, kb: a.KB, came: now, deadline: a.Deadline}
+	d.reqs[r.id], d.tokens[r.token] = r, r
+	r.obj = d.object(now, a.Obj, a.Group)
+	if r.part = r.obj.parts[a.Part]; r.part == nil {
+		r.part = &part{}
+		r.obj.parts[a.Part] = r.part
+	}
+	r.obj.asks.Add(now, 1)
+	d.asks.Add(now, 1)
+	r.obj.seen++
+	r.obj.last = now
+	d.again = min(againMost, d.again+againEach)
+	d.front.After(r.deadline-answerEarly-now, r.token)
+	d.route(now, r)
+}
+
+// route is the ordinary path of a req, and of each further dispatch of it.
+func (d *Director) route(now time.Duration, r *req) {
+	order := d.order(r.obj)
+	pick := d.follow(r, order)        // home, or another by the shares of a hot object
+	c := d.guard(now, r, pick, order) // a stand-in where the pick is not fit
+	if c == nil {
+		d.giveUp(now, r)
+		return
+	}
+	hit := d.holds(now, r, c)
+	if !hit && d.waits(now, r) {
+		return
+	}
+	x := &dispatch{r: r, number: len(r.sent), node: c, at: now, expectHit: hit}
+	x.source, x.sibling = d.source(now, r, c)
+	o := Order{Node: c.id, Source: x.source.id, HeldOnly: x.sibling, Age: d.age(now, r), Rank: d.rank(r, c, order)}
+	o.Renew = r.v.Fresh > 0 && r.obj.seen > 1
+	d.send(now, r, x, o)
+}
+
+// order ranks the location's caches for an object by a hash that all directors share.
+func (d *Director) order(o *object) []*node {
+	if o.as != d.version {
+		o.as, o.order = d.version, slices.Clone(d.caches)
+		slices.SortFunc(o.order, func(a, b *node) int {
+			if hash(o.id, uint64(a.id)) > hash(o.id, uint64(b.id)) {
+				return -1
+			}
+			return 1
+		})
+		o.away = slices.DeleteFunc(o.away, func(s share) bool { return !s.n.ready || s.n == o.order[0] })
+	}
+	return o.order
+}
+
+// follow draws by the shares, weighted rendezvous style. A part of an object in parts draws the same
+// cache while shares stay, so that parts spread without a second fill; others draw by chance.
+func (d *Director) follow(r *req, order []*node) *node {
+	if len(order) == 0 {
+		return nil
+	}
+	if len(r.obj.away) == 0 {
+		return order[0]
+	}
+	salt := uint64(r.partNo) + 1
+	if !r.v.InParts {
+		salt = d.chance(r.id)
+	}
+	home := 1.0
+	for _, s := range r.obj.away {
+		home -= s.part
+	}
+	best, most := order[0], math.Log(unit(hash(r.obj.id^salt<<20, uint64(order[0].id))))/max(home, 1e-9)
+	for _, s := range r.obj.away {
+		if at := math.Log(unit(hash(r.obj.id^salt<<20, uint64(s.n.id)))) / max(s.part, 1e-9); at > most {
+			best, most = s.n, at
+		}
+	}
+	return best
+}
+
+// guard passes the pick if it is fit, else the next in the object's order. It acts when the pick is set
+// aside, on trial and full, cold and out of budget, crowded, or failed this req before.
+func (d *Director) guard(now time.Duration, r *req, pick *node, order []*node) *node {
+	mean := 0.0
+	for _, c := range order {
+		mean += float64(c.out) / float64(len(order))
+	}
+	var second, last *node
+	try := func(c *node) bool {
+		if c == nil || !d.budget(now, c, r) || !r.allowed(now, c) {
+			return false
+		}
+		if last == nil || c.aside < last.aside {
+			last = c
+		}
+		if c.aside > now || c.limit > 0 && c.out >= c.limit || r.tried(c) {
+			return false
+		}
+		if float64(c.out) > crowdTimes*mean+crowdPlus {
+			if second == nil || c.out < second.out {
+				second = c
+			}
+			return false
+		}
+		return true
+	}
+	if try(pick) {
+		return pick
+	}
+	for _, c := range order {
+		if c != pick && try(c) {
+			return c
+		}
+	}
+	if second != nil {
+		return second
+	}
+	return last
+}
+
+// allowed tells whether this req may go to a cache at all: a uniqued one that may have run keeps to the
+// group and time in which a repeat is dropped, a non-replayable one that may have run goes nowhere.
+func (r *req) allowed(now time.Duration, c *node) bool {
+	if r.mayRun == nil || r.v.Effect == Replayable {
+		return true
+	}
+	if r.v.Effect == NonReplayable || now >= r.mayRun.at+r.v.Window-answerEarly {
+		return false
+	}
+	switch r.v.Group {
+	case GroupZone:
+		return c.zone == r.mayRun.node.zone
+	case GroupCell:
+		return c.cell == r.mayRun.node.cell && c.zone == r.mayRun.node.zone
+	}
+	return true
+}
+
+func (r *req) tried(c *node) bool {
+	for _, x := range r.sent {
+		if x.node == c && !x.sibling {
+			return true
+		}
+	}
+	return false
+}
+
+// holds tells whether a cache very probably has the part: it was seen there lately.
+func (d *Director) holds(now time.Duration, r *req, c *node) bool {
+	for _, h := range r.part.held {
+		if h.n == c {
+			return now-h.at < keepFor && h.at > c.wiped && h.at > d.purgedAt(r.obj) &&
+				(r.v.Fresh == 0 || now-h.at < r.v.Fresh)
+		}
+	}
+	return false
+}
+
+// waits queues a req behind a fill of the same part that is under way, since caches do not join fills:
+// a rush on a new object would else fill it once for each req and jam the link. Ends with that fill.
+func (d *Director) waits(now time.Duration, r *req) bool {
+	f := r.part.filling
+	if r.v.Write || f == nil || f.late || len(r.sent) > 0 || now-r.came > r.v.Aim {
+		return false
+	}
+	r.part.behind = append(r.part.behind, r)
+	d.move(now, r, queued)
+	return true
+}
+
+// source is the better of two random parents by smoothed fill latency, else the origin. One exception:
+// a sibling that was seen to hold the part gives it without the link in and the parents.
+func (d *Director) source(now time.Duration, r *req, c *node) (*node, bool) {
+	if r.v.Write && d.origin != nil {
+		return d.origin, false
+	}
+	if d.set.siblings && !r.sure {
+		for _, h := range r.part.held {
+			if h.n != c && h.n.role == cache && h.n.ready && h.n.aside <= now && h.n.limit == 0 && d.holds(now, r, h.n) &&
+				d.warm(now, h.n) {
+				return h.n, true
+			}
+		}
+	}
+	fit := make([]*node, 0, 8)
+	for _, p := range d.parents {
+		if p.aside <= now && (p.limit == 0 || p.out < p.limit) && d.budget(now, p, r) && !r.failedBy(p) {
+			fit = append(fit, p)
+		}
+	}
+	if len(fit) == 0 {
+		if d.origin != nil {
+			return d.origin, false
+		}
+		return c, false
+	}
+	i := int(d.chance(r.id) % uint64(len(fit)))
+	a, b := fit[i], fit[i]
+	if len(fit) > 1 {
+		j := int(d.chance(r.id) % uint64(len(fit)-1))
+		if j >= i {
+			j++
+		}
+		b = fit[j]
+	}
+	if b.waits(now) < a.waits(now) {
+		return b, false
+	}
+	return a, false
+}
+
+func (r *req) failedBy(p *node) bool {
+	for _, x := range r.sent {
+		if x.source == p {
+			return true
+		}
+	}
+	return false
+}
+
+// waits is the smoothed fill latency; unrenewed it fades, so that a source once slow is tried again.
+func (n *node) waits(now time.Duration) float64 {
+	return float64(n.wait) * math.Exp2(-float64(now-n.waitAt)/float64(restless))
+}
+
+// age is the oldest copy that will do: none from before a purge that was heard of. It is never 0 then,
+// which would mean any. A further dispatch takes a copy past its fresh time rather than none.
+func (d *Director) age(now time.Duration, r *req) time.Duration {
+	most := r.v.Fresh
+	if most > 0 && len(r.sent) > 0 {
+		most += r.v.Grace
+	}
+	if at := d.purgedAt(r.obj); at > -d.set.purgeSettles {
+		if left := max(now-at, time.Microsecond); most == 0 || left < most {
+			return left
+		}
+	}
+	return most
+}
+
+// purgedAt is the newest purge of the object or its group, far back if none is on record.
+func (d *Director) purgedAt(o *object) time.Duration {
+	at := time.Duration(math.MinInt64 / 2)
+	if t, ok := d.purged[o.id]; ok {
+		at = t
+	}
+	if t, ok := d.purgedAll[o.group]; ok {
+		at = max(at, t)
+	}
+	return at
+}
+
+// rank keeps what was asked for once and extra copies lowest: neither may push out a home's copies.
+func (d *Director) rank(r *req, c *node, order []*node) uint8 {
+	switch {
+	case r.v.Write:
+		return 0
+	case c != order[0] || r.obj.seen < 2:
+		return 1
+	}
+	return 2
+}
+
+// warm tells whether a machine is past its ramp.
+func (d *Director) warm(now time.Duration, n *node) bool {
+	return !n.booted || now-n.boot >= d.cold(n).Ramp
+}
+
+func (d *Director) cold(n *node) Cold {
+	if n.role == cache {
+		return d.set.cache
+	}
+	return d.set.parent
+}
+
+// budget guards a cold machine from being pushed over by all directors together: each uses its own part,
+// which is what a warm peer takes of it. One dispatch a window is always allowed.
+func (d *Director) budget(now time.Duration, n *node, r *req) bool {
+	if n.role == origin || d.warm(now, n) {
+		return true
+	}
+	k, takes := d.cold(n), d.took
+	if n.role == parent {
+		takes = d.fillTook
+	}
+	young := max(0, now-n.boot-k.Window)
+	part := k.Floor + (1-k.Floor)*young.Seconds()/k.Ramp.Seconds()
+	sent := n.sent.Sum(now)
+	return sent == 0 || sent+r.v.send.Seconds() <= coldSafety*k.Multiple*part*takes*k.Window.Seconds()
+}
+
+// send is the one place through which every dispatch passes.
+func (d *Director) send(now time.Duration, r *req, x *dispatch, o Order) {
+	r.sent = append(r.sent, x)
+	r.open++
+	x.node.out++
+	x.overdue = now + d.patience(r)
+	d.outs = append(d.outs, x)
+	if !d.warm(now, x.node) {
+		x.node.sent.Add(now, r.v.send.Seconds())
+	}
+	if x.source.role != cache {
+		x.source.out++
+		if !d.warm(now, x.source) {
+			x.source.sent.Add(now, r.v.send.Seconds())
+		}
+	}
+	if r.mayRun == nil {
+		r.mayRun = x
+	}
+	if !x.expectHit && r.part.filling == nil {
+		r.part.filling = x
+	}
+	d.front.Dispatch(r.id, o)
+	d.front.After(x.overdue-now, r.token)
+	d.move(now, r, out)
+}
+
+// expected is the time that sending alone should take.
+func (d *Director) expected(r *req) time.Duration {
+	if r.kb > 0 && d.set.kbPerMilli > 0 {
+		return time.Duration(r.kb / d.set.kbPerMilli * float64(time.Millisecond))
+	}
+	if r.obj.send > 0 {
+		return r.obj.send
+	}
+	return r.v.send
+}
+
+const overhead = 100 * time.Millisecond // ways and handshakes, on top of sending
+
+func (d *Director) patience(r *req) time.Duration {
+	usual := float64(d.expected(r)+overhead) * (r.v.mean + waitDevs*r.v.dev)
+	return min(mostWait, max(leastWait, time.Duration(usual)))
+}
+
+// move makes every change of a req's state.
+func (d *Director) move(now time.Duration, r *req, to state) {
+	if r.state == queued {
+		r.part.behind = slices.DeleteFunc(r.part.behind, func(q *req) bool { return q == r })
+	}
+	r.state = to
+	switch to {
+	case queued:
+		r.queuedAt = now
+		d.front.After(r.came+r.v.Aim-now, r.token)
+	case recalled, ended:
+		for _, x := range r.sent {
+			if !x.over && d.set.mayCancel {
+				d.front.Cancel(r.id, x.number)
+			}
+		}
+		if to == ended {
+			delete(d.tokens, r.token)
+			d.drop(r)
+		}
+	}
+}
+
+// drop forgets a req that has ended and has no dispatch out.
+func (d *Director) drop(r *req) {
+	if r.state == ended && r.open == 0 {
+		delete(d.reqs, r.id)
+	}
+}
+
+// giveUp answers at once, with a denial wherever a retry is harmless.
+func (d *Director) giveUp(now time.Duration, r *req) {
+	d.move(now, r, ended)
+	if r.v.Effect == Replayable || r.mayRun == nil || r.v.Effect == Uniqued && r.v.Group == GroupAll {
+		back := time.Duration(0)
+		if d.set.comeBack {
+			back = min(d.set.maxComeBack, time.Duration((0.2+0.6*unit(d.chance(r.id)))*float64(time.Second)))
+		}
+		d.front.Deny(r.id, back)
+		return
+	}
+	d.front.Abort(r.id)
+}
+
+// Left tells that the client has gone.
+func (d *Director) Left(now time.Duration, id uint32) {
+	if r := d.reqs[id]; r != nil && r.state != ended {
+		d.move(now, r, ended)
+	}
+}
+
+// Outcome takes the end of a dispatch.
+func (d *Director) Outcome(now time.Duration, id uint32, o Outcome) {
+	r := d.reqs[id]
+	if r == nil || o.Dispatch >= len(r.sent) || r.sent[o.Dispatch].over {
+		return
+	}
+	x := r.sent[o.Dispatch]
+	x.over = true
+	r.open--
+	d.outs = slices.DeleteFunc(d.outs, func(y *dispatch) bool { return y == x })
+	x.node.out--
+	if x.source.role != cache {
+		x.source.out--
+	}
+	switch o.Ending {
+	case Full, NoConnect, Moot, Miss: // proof that it never ran
+		if r.mayRun == x {
+			r.mayRun = nil
+		}
+	}
+	d.learn(now, x, o)
+	if r.part.filling == x {
+		r.part.filling = nil
+		for _, q := range slices.Clone(r.part.behind) {
+			d.route(now, q)
+		}
+	}
+	switch {
+	case r.state == ended:
+		d.drop(r)
+	case o.Final || o.Ending == Done:
+		d.move(now, r, ended)
+	case r.open == 0:
+		d.further(now, r, o)
+	}
+}
+
+// further sends a req again if rules, time and the budget for it allow, else gives it up at once.
+func (d *Director) further(now time.Duration, r *req, o Outcome) {
+	guess := o.Ending == Miss && r.sent[o.Dispatch].sibling
+	r.sure = true
+	if !guess {
+		d.again--
+	}
+	if d.again < 0 || len(r.sent) >= d.set.maxDispatches || now+answerEarly >= r.deadline || o.Ending == Moot {
+		d.again = max(d.again, 0)
+		d.giveUp(now, r)
+		return
+	}
+	d.route(now, r)
+}
+
+// learn draws from an outcome what it says of the cache, the source, the object and the vhost.
+func (d *Director) learn(now time.Duration, x *dispatch, o Outcome) {
+	r, c, s := x.r, x.node, x.source
+	fillBad := o.Fill == SourceRefused || o.Fill == SourceUnreached || o.Fill == OriginFailed
+	switch {
+	case o.Ending == Done:
+		d.alive(now, c)
+		c.load.Add(now, 1)
+		c.work.Add(now, r.v.send.Seconds())
+		x.fit(d, now, o)
+		if o.Fill == Filled || o.Fill == FilledByOrigin {
+			d.alive(now, s)
+			s.work.Add(now, r.v.send.Seconds())
+			wait := o.Waited
+			if wait == 0 {
+				wait = max(o.Took-d.expected(r), time.Millisecond)
+			}
+			s.wait += time.Duration(float64(wait-s.wait) * 2 * settle)
+			s.waitAt = now
+		}
+	case fillBad:
+		d.alive(now, c)
+		if s.role != cache {
+			s.bad.Add(now, 1)
+			d.judge(now, s)
+		}
+	case o.Ending == Miss || o.Ending == Full:
+		d.alive(now, c)
+	case o.Ending == NoConnect || o.Ending == Reset:
+		c.wiped = now
+		fallthrough
+	case o.Ending == Failed, o.Ending == TimedOut && !(x.late && s.late >= silentAt):
+		c.bad.Add(now, 1)
+		d.judge(now, c)
+	}
+	if o.Fill == Hit && s.role != cache && !d.warm(now, s) {
+		s.sent.Add(now, -r.v.send.Seconds()) // it never asked the source
+	}
+	held := o.Ending == Done && !r.v.Write
+	r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool { return h.n == c && (held || o.Ending == Miss && !x.sibling) })
+	if x.sibling && o.Ending == Miss {
+		r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool { return h.n == s })
+	}
+	if held {
+		r.part.held = append(r.part.held, copyAt{c, x.at})
+	}
+}
+
+// fit smooths sending times and how far the time taken lies from the time expected.
+func (x *dispatch) fit(d *Director, now time.Duration, o Outcome) {
+	r, v := x.r, x.r.v
+	ratio := float64(o.Took) / float64(d.expected(r)+overhead)
+	v.dev += (math.Abs(ratio-v.mean) - v.dev) * settle
+	v.mean += (ratio - v.mean) * settle
+	if r.kb > 0 && d.set.kbPerMilli > 0 {
+		v.send += time.Duration(float64(d.expected(r)-v.send) * settle)
+	} else if o.Fill == Hit || o.Fill == Untold {
+		v.send += time.Duration(float64(o.Took-v.send) * settle)
+		if r.obj.send == 0 {
+			r.obj.send = o.Took
+		}
+		r.obj.send += (o.Took - r.obj.send) / 4
+	}
+}
+
+// alive notes a sign of life: a machine on trial carries one more.
+func (d *Director) alive(now time.Duration, n *node) {
+	n.late = 0
+	n.ok.Add(now, 1)
+	if n.limit > 0 {
+		if n.limit++; n.limit > trialSteps {
+			n.limit = 0
+		}
+	}
+}
+
+// judge sets a machine aside whose share of failures lies well above the median of its peers.
+func (d *Director) judge(now time.Duration, n *node) {
+	peers := d.caches
+	if n.role != cache {
+		peers = d.parents
+	}
+	shares := make([]float64, 0, len(peers))
+	for _, p := range peers {
+		shares = append(shares, p.bad.Sum(now)/max(1, p.bad.Sum(now)+p.ok.Sum(now)))
+	}
+	slices.Sort(shares)
+	bad := n.bad.Sum(now)
+	if len(shares) > 0 && (bad >= badAt || n.limit > 0) && bad/(bad+n.ok.Sum(now)) > shares[(len(shares)-1)/2]+badOver {
+		d.setAside(now, n)
+	}
+}
+
+// setAside takes a machine out for a fixed time and a random part; its reqs move on, its shares go back.
+// A third of the location's caches stay, whatever they look like: the rest must not drown.
+func (d *Director) setAside(now time.Duration, n *node) {
+	if n.aside > now || n.role == origin {
+		return
+	}
+	if n.role == cache {
+		left := 0
+		for _, c := range d.caches {
+			if c != n && c.aside <= now {
+				left++
+			}
+		}
+		if left == 0 || left < len(d.caches)/3 {
+			return
+		}
+	}
+	n.aside = now + asideFor + time.Duration(unit(d.chance(n.id))/2*float64(asideFor))
+	n.limit, n.late = 1, 0
+	n.bad, n.ok = NewRing(loadWidth, 2*loadBuckets), NewRing(loadWidth, 2*loadBuckets)
+	for _, o := range d.table {
+		o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.n == n })
+	}
+	for _, x := range slices.Clone(d.outs) {
+		if x.r.state == out && (x.node == n || x.source == n && !x.expectHit) && d.set.mayCancel &&
+			(x.r.v.Effect == Replayable || x.r.v.Effect == Uniqued && x.r.v.Group == GroupAll) {
+			d.move(now, x.r, recalled)
+		}
+	}
+}
+
+// Timer takes a timer that fell due: the period's, or a req's.
+func (d *Director) Timer(now time.Duration, token uint32) {
+	if token == 0 {
+		d.diffuse(now)
+		d.front.After(period, 0)
+		return
+	}
+	r := d.tokens[token]
+	switch {
+	case r == nil:
+	case now >= r.deadline-answerEarly:
+		d.giveUp(now, r)
+	case r.state == queued && now-r.came >= r.v.Aim:
+		d.route(now, r)
+	default:
+		for _, x := range r.sent {
+			if !x.over && !x.late && now >= x.overdue {
+				d.overdue(now, x)
+			}
+		}
+	}
+}
+
+// overdue takes silence as a symptom before any time-out: a machine that others of our reqs wait for
+// as well, with no sign of life since, is set aside. Guards against hangs, silent machines and dead links.
+func (d *Director) overdue(now time.Duration, x *dispatch) {
+	x.late = true
+	x.node.late++
+	if !x.expectHit && x.source.role != cache {
+		x.source.late++
+		if x.source.late >= silentAt || x.source.limit > 0 {
+			d.setAside(now, x.source)
+		}
+	}
+	if x.node.late >= silentAt || x.node.limit > 0 {
+		d.setAside(now, x.node)
+	}
+	if x.r.part.filling == x {
+		for _, q := range slices.Clone(x.r.part.behind) {
+			d.route(now, q)
+		}
+	}
+}
+
+// diffuse shifts hot load between each home and the location's other caches by the gaps of L.
+func (d *Director) diffuse(now time.Duration) {
+	d.tidy(now)
+	total := d.asks.Sum(now)
+	alpha := 1 / float64(2+len(d.caches)-1)
+	for _, o := range d.table {
+		o.hot = o.asks.Sum(now) > max(3, hotShare*total)
+		if !o.hot || len(d.order(o)) < 2 {
+			o.away = nil
+		} else if len(o.away) == 0 {
+			o.away = []share{{o.order[1], leastAway}}
+		}
+	}
+	for _, home := range d.caches {
+		for _, j := range d.caches {
+			if j == home || home.aside > now || j.aside > now {
+				continue
+			}
+			gap := alpha * (home.load.Rate(now, 0) - j.load.Rate(now, 0))
+			atHome, atJ := 0.0, 0.0
+			for _, o := range d.table {
+				if o.hot && len(o.order) > 1 && o.order[0] == home {
+					rate := o.asks.Rate(now, 0)
+					atHome += rate * (1 - o.awayAt(nil))
+					atJ += rate * o.awayAt(j)
+				}
+			}
+			shift, at := min(atHome, gap), atHome
+			if gap < 0 {
+				shift, at = -min(atJ, -gap), atJ
+			}
+			if at <= 0 {
+				continue
+			}
+			for _, o := range d.table {
+				if o.hot && len(o.order) > 1 && o.order[0] == home {
+					o.shift(j, shift/at)
+				}
+			}
+		}
+	}
+}
+
+// awayAt is the share at one cache, or at all but the home.
+func (o *object) awayAt(j *node) (sum float64) {
+	for _, s := range o.away {
+		if j == nil || s.n == j {
+			sum += s.part
+		}
+	}
+	return sum
+}
+
+// shift moves a part of what is at home to j, or back where it is below zero, and keeps the least away.
+func (o *object) shift(j *node, of float64) {
+	by := of * (1 - o.awayAt(nil))
+	if of < 0 {
+		by = of * o.awayAt(j)
+	}
+	at := slices.IndexFunc(o.away, func(s share) bool { return s.n == j })
+	if at < 0 && by > 0 {
+		o.away = append(o.away, share{j, by})
+	} else if at >= 0 {
+		o.away[at].part += by
+		o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.part < 0.01 })
+	}
+	if lack := leastAway - o.awayAt(nil); lack > 0 {
+		if at := slices.IndexFunc(o.away, func(s share) bool { return s.n == o.order[1] }); at >= 0 {
+			o.away[at].part += lack
+		} else {
+			o.away = append(o.away, share{o.order[1], lack})
+		}
+	}
+}
+
+// tidy ages the table and the purges, and renews what a warm machine takes of us.
+func (d *Director) tidy(now time.Duration) {
+	d.table = slices.DeleteFunc(d.table, func(o *object) bool {
+		gone := now-o.last > forgetAfter && len(d.table) > 0
+		if gone {
+			delete(d.objects, o.id)
+		}
+		return gone
+	})
+	for id, at := range d.purged {
+		if now-at > d.set.purgeSettles+time.Second {
+			delete(d.purged, id)
+		}
+	}
+	for id, at := range d.purgedAll {
+		if now-at > d.set.purgeSettles+time.Second {
+			delete(d.purgedAll, id)
+		}
+	}
+	d.took, d.fillTook = d.takes(now, d.caches, d.took), d.takes(now, d.parents, d.fillTook)
+}
+
+// takes is the mean sending time a second that warm machines took of us; with none warm the last stands.
+func (d *Director) takes(now time.Duration, of []*node, last float64) float64 {
+	sum, n := 0.0, 0.0
+	for _, c := range of {
+		if d.warm(now, c) && c.aside <= now {
+			sum += c.work.Rate(now, 0)
+			n++
+		}
+	}
+	if n == 0 {
+		return last
+	}
+	return sum / n
+}
+
+// object finds or makes the record of an object; a full table forgets its oldest.
+func (d *Director) object(now time.Duration, id uint64, group uint32) *object {
+	o := d.objects[id]
+	if o == nil {
+		o = &object{id: id, group: group, asks: NewRing(loadWidth, 2*loadBuckets), as: -1, parts: map[uint32]*part{}}
+		if len(d.table) >= tableSize {
+			delete(d.objects, d.table[0].id)
+			d.table = d.table[1:]
+		}
+		d.objects[id], d.table = o, append(d.table, o)
+	}
+	return o
+}
+
+// Purge notes that copies from before now-ago must not be served.
+func (d *Director) Purge(now time.Duration, group uint32, obj uint64, ago time.Duration) {
+	if obj == 0 {
+		d.purgedAll[group] = max(now-ago, d.purgedAll[group])
+	} else {
+		d.purged[obj] = max(now-ago, d.purged[obj])
+	}
+}
+
+// List takes discovery's news. What drains or is gone is left out from here on, as a source too.
+func (d *Director) List(now time.Duration, list []Listed, whole bool) {
+	if whole {
+		for _, n := range d.nodes {
+			n.ready = false
+		}
+	}
+	for _, l := range list {
+		n := d.nodes[l.Node]
+		if n == nil {
+			n = &node{id: l.Node, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
+				ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets)}
+			d.nodes[l.Node] = n
+		}
+		n.zone, n.cell, n.ready = l.Zone, l.Cell, l.State == Ready
+		switch {
+		case l.Kind == d.set.originKind:
+			n.role = origin
+		case l.Kind == d.set.parentKind:
+			n.role = parent
+		case l.Zone == d.set.zone:
+			n.role = cache
+		default:
+			n.role = other
+		}
+		if l.Booted && (!n.booted || n.boot != l.Boot) {
+			n.booted, n.boot, n.wiped = true, l.Boot, max(n.wiped, l.Boot)
+			n.sent = NewRing(max(d.cold(n).Window/8, time.Millisecond), 9)
+			n.aside, n.limit, n.late, n.wait = 0, 1, 0, 0
+		}
+	}
+	d.version++
+	d.caches, d.parents, d.origin = nil, nil, nil
+	for _, n := range d.nodes {
+		switch {
+		case !n.ready:
+		case n.role == cache:
+			d.caches = append(d.caches, n)
+		case n.role == parent:
+			d.parents = append(d.parents, n)
+		case n.role == origin && (d.origin == nil || n.id < d.origin.id):
+			d.origin = n
+		}
+	}
+	byID := func(a, b *node) int { return int(int64(a.id) - int64(b.id)) }
+	slices.SortFunc(d.caches, byID)
+	slices.SortFunc(d.parents, byID)
+}
+
+// hash spreads its words evenly; all directors share it.
+func hash(words ...uint64) uint64 {
+	h := fnv.New64a()
+	var b [8]byte
+	for _, w := range words {
+		binary.LittleEndian.PutUint64(b[:], w)
+		h.Write(b[:])
+	}
+	x := h.Sum64() // FNV's high bits lag behind its low ones
+	x ^= x >> 32
+	x *= 0x9e3779b97f4a7c15
+	return x ^ x>>29
+}
+
+// chance is this instance's own: no two calls draw the same.
+func (d *Director) chance(id uint32) uint64 {
+	d.counter++
+	return hash(d.identity, uint64(id), d.counter)
+}
+
+// unit turns a hash into a number above 0 and below 1.
+func unit(h uint64) float64 { return (float64(h>>12) + 0.5) / (1 << 52) }
