Adapt the dispatches out at each cache and through the link to timely answers

Cause: dispatches piled up (120 at one cache) and most were turned away as full, a jam that outlasted its cause. Each cache, and the location's fills together, get room that grows on timely answers and shrinks on late or full ones. Guards also against slow machines; harms where lateness has a cause outside the cache.

--- a/control/control.go
+++ b/control/control.go
@@ -31,7 +31,10 @@
 	badAt       = 3                    // failures that are not chance
 	badOver     = 0.3                  // share of failures above the fleet's median
 	asideFor    = 2 * time.Second      // set aside for this and up to half as much again by chance
-	trialSteps  = 12                   // good answers after which a returned machine carries all again
+	roomAtStart = 12                   // dispatches out at a cache, until its answers tell more
+	roomLeast   = 2                    // so that there is always something to learn from
+	roomQuick   = 8                    // below it each timely answer makes room for one more
+	linkAtStart = 24                   // the same for fills through the location's link
 	coldSafety  = 0.5                  // part of a cold machine's budget that is used: capacity is a guess
 	againEach   = 0.15                 // further dispatches earned by each req
 	againMost   = 25                   // and saved up: a cache's worth of reqs
@@ -58,7 +61,7 @@
 	boot           time.Duration
 	wiped          time.Duration // copies seen before this are gone
 	out            int           // dispatches of ours that it holds
-	limit          int           // most of them while it is on trial; 0: no limit
+	room           float64       // most of them, by how timely its answers are
 	late           int           // overdue since its last sign of life
 	aside          time.Duration // set aside until then
 	wait           time.Duration // source: smoothed fill latency
@@ -163,6 +166,8 @@
 	outs              []*dispatch
 	purged            map[uint64]time.Duration // by object: when
 	purgedAll         map[uint32]time.Duration // by group
+	fills             int                      // dispatches out that probably need the link in
+	linkRoom          float64                  // most of them
 	again             float64                  // further dispatches saved up
 	asks              Ring
 	took              float64 // sending time that a warm cache takes of us each second
@@ -185,7 +190,7 @@
 
 // Start makes a director that knows nothing yet.
 func Start(s Settings, f Front) *Director {
-	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{}, again: againMost,
+	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{}, again: againMost, linkRoom: linkAtStart,
 		reqs: map[uint32]*req{}, tokens: map[uint32]*req{}, purged: map[uint64]time.Duration{},
 		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
 	d.identity = s.Seed ^ uint64(s.Me)<<48
@@ -241,6 +246,10 @@
 	if !hit && d.waits(now, r) {
 		return
 	}
+	if !hit && float64(d.fills) >= d.linkRoom {
+		d.giveUp(now, r)
+		return
+	}
 	x := &dispatch{r: r, number: len(r.sent), node: c, at: now, expectHit: hit}
 	x.source, x.sibling = d.source(now, r, c)
 	o := Order{Node: c.id, Source: x.source.id, HeldOnly: x.sibling, Age: d.age(now, r), Rank: d.rank(r, c, order)}
@@ -304,7 +313,7 @@
 		if last == nil || c.aside < last.aside {
 			last = c
 		}
-		if c.aside > now || c.limit > 0 && c.out >= c.limit || r.tried(c) {
+		if c.aside > now || float64(c.out) >= c.room || r.tried(c) {
 			return false
 		}
 		if float64(c.out) > crowdTimes*mean+crowdPlus {
@@ -323,10 +332,10 @@
 			return c
 		}
 	}
-	if second != nil {
-		return second
+	if second == nil && last != nil && last.aside > now {
+		return last
 	}
-	return last
+	return second
 }
 
 // allowed tells whether this req may go to a cache at all: a uniqued one that may have run keeps to the
@@ -387,7 +396,7 @@
 	}
 	if d.set.siblings && !r.sure {
 		for _, h := range r.part.held {
-			if h.n != c && h.n.role == cache && h.n.ready && h.n.aside <= now && h.n.limit == 0 && d.holds(now, r, h.n) &&
+			if h.n != c && h.n.role == cache && h.n.ready && h.n.aside <= now && float64(h.n.out) < h.n.room && d.holds(now, r, h.n) &&
 				d.warm(now, h.n) {
 				return h.n, true
 			}
@@ -395,7 +404,7 @@
 	}
 	fit := make([]*node, 0, 8)
 	for _, p := range d.parents {
-		if p.aside <= now && (p.limit == 0 || p.out < p.limit) && d.budget(now, p, r) && !r.failedBy(p) {
+		if p.aside <= now && float64(p.out) < p.room && d.budget(now, p, r) && !r.failedBy(p) {
 			fit = append(fit, p)
 		}
 	}
@@ -506,6 +515,9 @@
 	r.open++
 	x.node.out++
 	x.overdue = now + d.patience(r)
+	if !x.expectHit && !x.sibling {
+		d.fills++
+	}
 	d.outs = append(d.outs, x)
 	if !d.warm(now, x.node) {
 		x.node.sent.Add(now, r.v.send.Seconds())
@@ -617,6 +629,21 @@
 		}
 	}
 	d.learn(now, x, o)
+	if !x.expectHit && !x.sibling {
+		d.fills--
+	}
+	good := o.Ending == Done && o.Took <= d.aim(r)
+	switch {
+	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
+	case x.expectHit || o.Fill == Hit:
+		adapt(&x.node.room, x.node.out, good)
+	case !x.sibling:
+		adapt(&d.linkRoom, d.fills, good)
+		if good {
+			adapt(&x.node.room, x.node.out, good)
+			adapt(&x.source.room, x.source.out, good)
+		}
+	}
 	if r.part.filling == x {
 		r.part.filling = nil
 		for _, q := range slices.Clone(r.part.behind) {
@@ -717,10 +744,23 @@
 func (d *Director) alive(now time.Duration, n *node) {
 	n.late = 0
 	n.ok.Add(now, 1)
-	if n.limit > 0 {
-		if n.limit++; n.limit > trialSteps {
-			n.limit = 0
-		}
+}
+
+// timely is the aim of a req, from its coming in.
+func (d *Director) aim(r *req) time.Duration {
+	return min(r.v.Timeout, r.v.Aim+time.Duration(r.v.Stretch*float64(d.expected(r))))
+}
+
+// adapt makes room for one more where answers come in time, quickly from little, and takes one away for
+// each that is late or turned away. Guards against overload, slow machines and a full link alike.
+func adapt(room *float64, out int, good bool) {
+	switch {
+	case !good:
+		*room = max(roomLeast, *room-1)
+	case *room < roomQuick:
+		*room++
+	case float64(out) > *room/2:
+		*room += 1 / *room
 	}
 }
 
@@ -736,7 +776,7 @@
 	}
 	slices.Sort(shares)
 	bad := n.bad.Sum(now)
-	if len(shares) > 0 && (bad >= badAt || n.limit > 0) && bad/(bad+n.ok.Sum(now)) > shares[(len(shares)-1)/2]+badOver {
+	if len(shares) > 0 && (bad >= badAt || n.room < badAt) && bad/(bad+n.ok.Sum(now)) > shares[(len(shares)-1)/2]+badOver {
 		d.setAside(now, n)
 	}
 }
@@ -759,7 +799,7 @@
 		}
 	}
 	n.aside = now + asideFor + time.Duration(unit(d.chance(n.id))/2*float64(asideFor))
-	n.limit, n.late = 1, 0
+	n.room, n.late = 1, 0
 	n.bad, n.ok = NewRing(loadWidth, 2*loadBuckets), NewRing(loadWidth, 2*loadBuckets)
 	for _, o := range d.table {
 		o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.n == n })
@@ -802,11 +842,11 @@
 	x.node.late++
 	if !x.expectHit && x.source.role != cache {
 		x.source.late++
-		if x.source.late >= silentAt || x.source.limit > 0 {
+		if x.source.late >= silentAt || x.source.room < silentAt {
 			d.setAside(now, x.source)
 		}
 	}
-	if x.node.late >= silentAt || x.node.limit > 0 {
+	if x.node.late >= silentAt || x.node.room < silentAt {
 		d.setAside(now, x.node)
 	}
 	if x.r.part.filling == x {
@@ -962,7 +1002,7 @@
 		n := d.nodes[l.Node]
 		if n == nil {
 			n = &node{id: l.Node, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
-				ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets)}
+				ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart}
 			d.nodes[l.Node] = n
 		}
 		n.zone, n.cell, n.ready = l.Zone, l.Cell, l.State == Ready
@@ -970,7 +1010,9 @@
 		case l.Kind == d.set.originKind:
 			n.role = origin
 		case l.Kind == d.set.parentKind:
-			n.role = parent
+			if n.role = parent; n.room == roomAtStart {
+				n.room = linkAtStart
+			}
 		case l.Zone == d.set.zone:
 			n.role = cache
 		default:
@@ -979,7 +1021,7 @@
 		if l.Booted && (!n.booted || n.boot != l.Boot) {
 			n.booted, n.boot, n.wiped = true, l.Boot, max(n.wiped, l.Boot)
 			n.sent = NewRing(max(d.cold(n).Window/8, time.Millisecond), 9)
-			n.aside, n.limit, n.late, n.wait = 0, 1, 0, 0
+			n.aside, n.room, n.late, n.wait = 0, roomLeast, 0, 0
 		}
 	}
 	d.version++
