Shift only what of a gap lies over the noise of the counted reqs

Cause: a director counts some 25 reqs of a cache in the window, so gaps of a few reqs a second are chance; every move of a share sends parts to caches that lack them.

--- a/control/control.go
+++ b/control/control.go
@@ -874,7 +874,9 @@
 			if j == home || home.aside > now || j.aside > now {
 				continue
 			}
-			gap := alpha * (home.load.Rate(now, 0) - j.load.Rate(now, 0))
+			gap := home.load.Rate(now, 0) - j.load.Rate(now, 0)
+			noise := math.Sqrt(home.load.Sum(now)+j.load.Sum(now)) / home.load.Span().Seconds()
+			gap = alpha * math.Copysign(max(0, math.Abs(gap)-noise), gap)
 			atHome, atJ := 0.0, 0.0
 			for _, o := range d.table {
 				if o.hot && len(o.order) > 1 && o.order[0] == home {
