Hot from three percent; only a second copy in the location counts as extra

Cause: with parts drawn to different caches a part away from its home is mostly the location's only copy, yet it went to the lowest rank; and at one percent every object being viewed counted as hot.

--- a/control/control.go
+++ b/control/control.go
@@ -17,7 +17,7 @@
 	period      = 500 * time.Millisecond // diffusion: a few reqs of each cache fall into one period
 	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long enough to rise
 	loadBuckets = 4                      // over the noise of single reqs, short against a hot object's stay
-	hotShare    = 0.01                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
+	hotShare    = 0.03                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
 	leastAway   = 0.25                   // a hot object's part outside its home, whatever the gap
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
@@ -252,7 +252,7 @@
 	}
 	x := &dispatch{r: r, number: len(r.sent), node: c, at: now, expectHit: hit}
 	x.source, x.sibling = d.source(now, r, c)
-	o := Order{Node: c.id, Source: x.source.id, HeldOnly: x.sibling, Age: d.age(now, r), Rank: d.rank(r, c, order)}
+	o := Order{Node: c.id, Source: x.source.id, HeldOnly: x.sibling, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
 	o.Renew = r.v.Fresh > 0 && r.obj.seen > 1
 	d.send(now, r, x, o)
 }
@@ -471,16 +471,21 @@
 }
 
 // rank keeps what was asked for once and extra copies lowest: neither may push out a home's copies.
-func (d *Director) rank(r *req, c *node, order []*node) uint8 {
+func (d *Director) rank(now time.Duration, r *req, c *node, order []*node) uint8 {
 	switch {
 	case r.v.Write:
 		return 0
-	case c != order[0] || r.obj.seen < 2:
+	case r.obj.seen < 2 || c != order[0] && d.heldElsewhere(now, r, c):
 		return 1
 	}
 	return 2
 }
 
+// heldElsewhere tells whether a copy at c would be an extra one.
+func (d *Director) heldElsewhere(now time.Duration, r *req, c *node) bool {
+	return slices.ContainsFunc(r.part.held, func(h copyAt) bool { return h.n != c && d.holds(now, r, h.n) })
+}
+
 // warm tells whether a machine is past its ramp.
 func (d *Director) warm(now time.Duration, n *node) bool {
 	return !n.booted || now-n.boot >= d.cold(n).Ramp
