A hot object's part stays at the cache where it was seen while that cache has a share

Cause: shares that move by a little move parts to caches that must fill them again. Harms where one part alone is too much for a cache: the crowd guard then answers.

--- a/control/control.go
+++ b/control/control.go
@@ -17,7 +17,7 @@
 	period      = 500 * time.Millisecond // diffusion: a few reqs of each cache fall into one period
 	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long enough to rise
 	loadBuckets = 4                      // over the noise of single reqs, short against a hot object's stay
-	hotShare    = 0.03                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
+	hotShare    = 0.04                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
 	leastAway   = 0.25                   // a hot object's part outside its home, whatever the gap
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
@@ -236,7 +236,7 @@
 // route is the ordinary path of a req, and of each further dispatch of it.
 func (d *Director) route(now time.Duration, r *req) {
 	order := d.order(r.obj)
-	pick := d.follow(r, order)        // home, or another by the shares of a hot object
+	pick := d.follow(now, r, order)   // home, or another by the shares of a hot object
 	c := d.guard(now, r, pick, order) // a stand-in where the pick is not fit
 	if c == nil {
 		d.giveUp(now, r)
@@ -274,13 +274,20 @@
 
 // follow draws by the shares, weighted rendezvous style. A part of an object in parts draws the same
 // cache while shares stay, so that parts spread without a second fill; others draw by chance.
-func (d *Director) follow(r *req, order []*node) *node {
+func (d *Director) follow(now time.Duration, r *req, order []*node) *node {
 	if len(order) == 0 {
 		return nil
 	}
 	if len(r.obj.away) == 0 {
 		return order[0]
 	}
+	if r.v.InParts { // a part stays where it is while that cache has a share at all
+		for _, h := range r.part.held {
+			if (h.n == order[0] || r.obj.awayAt(h.n) > 0) && d.holds(now, r, h.n) {
+				return h.n
+			}
+		}
+	}
 	salt := uint64(r.partNo) + 1
 	if !r.v.InParts {
 		salt = d.chance(r.id)
