A stand-in that holds the part goes first; crowded from 1.5 times the mean and two more

Cause: links carry few transfers at once, so a cache a little fuller than its peers is late already.

--- a/control/control.go
+++ b/control/control.go
@@ -22,8 +22,8 @@
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
 	tableSize   = 8192                   // objects
-	crowdTimes  = 2.0                    // a cache is crowded at this multiple of its peers' mean dispatches out
-	crowdPlus   = 4                      // and this many more: a few are chance
+	crowdTimes  = 1.5                    // a cache is crowded at this multiple of its peers' mean dispatches out
+	crowdPlus   = 2                      // and this many more: a few are chance
 	leastWait   = 400 * time.Millisecond // no dispatch is overdue before this: pauses are shorter
 	mostWait    = 2500 * time.Millisecond
 	waitDevs    = 4                    // an overdue dispatch took this many mean deviations over the mean
@@ -334,6 +334,11 @@
 	if try(pick) {
 		return pick
 	}
+	for _, h := range r.part.held { // a stand-in that has the part needs no fill
+		if h.n != pick && h.n.ready && d.holds(now, r, h.n) && try(h.n) {
+			return h.n
+		}
+	}
 	for _, c := range order {
 		if c != pick && try(c) {
 			return c
