--- a/control/control.go
+++ b/control/control.go
@@ -22,8 +22,8 @@
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
 	tableSize   = 8192                   // objects
-	crowdTimes  = 1.5                    // a cache is crowded at this multiple of its peers' mean dispatches out
-	crowdPlus   = 2                      // and this many more: a few are chance
+	crowdTimes  = 1.25                   // a cache is crowded at this multiple of its peers' mean dispatches out
+	crowdPlus   = 1                      // and this many more: a few are chance
 	leastWait   = 400 * time.Millisecond // no dispatch is overdue before this: pauses are shorter
 	mostWait    = 2500 * time.Millisecond
 	waitDevs    = 4                    // an overdue dispatch took this many mean deviations over the mean
