--- a/control/control.go
+++ b/control/control.go
@@ -39,6 +39,7 @@
 	againEach   = 0.15                 // further dispatches earned by each req
 	againMost   = 25                   // and saved up: a cache's worth of reqs
 	answerEarly = 6 * time.Millisecond // the last answer leaves this long before the client timeout
+	clearly     = 1.5                  // the second parent of an object's pair must be quicker by this: the first may have the object
 	settle      = 1.0 / 16             // weight of one more sample in what is smoothed
 	restless    = 3 * time.Second      // half-life of a source's fill latency that is not renewed
 )
@@ -426,19 +427,16 @@
 		}
 		return c, false
 	}
-	i := int(d.chance(r.id) % uint64(len(fit)))
-	a, b := fit[i], fit[i]
-	if len(fit) > 1 {
-		j := int(d.chance(r.id) % uint64(len(fit)-1))
-		if j >= i {
-			j++
+	slices.SortFunc(fit, func(a, b *node) int {
+		if hash(r.obj.id, uint64(a.id)) > hash(r.obj.id, uint64(b.id)) {
+			return -1
 		}
-		b = fit[j]
-	}
-	if b.waits(now) < a.waits(now) {
-		return b, false
+		return 1
+	})
+	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
+		return fit[1], false
 	}
-	return a, false
+	return fit[0], false
 }
 
 func (r *req) failedBy(p *node) bool {
