Tests for the five rules, types and bookkeeping out of the module, requeued reqs kept in line

A req queued twice behind fills dropped out of its queue until its first-byte target (found by the test for a rush on a new object). Each rule was broken on purpose in the module (late answer, double answer, denial, resend, window, cell, drained cache, cold budget, purge age) and the checker failed on each.

--- a/control/control.go
+++ b/control/control.go
@@ -5,8 +5,6 @@
 package control
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -44,177 +42,6 @@
 	restless    = 3 * time.Second      // half-life of a source's fill latency that is not renewed
 )
 
-type role uint8
-
-const (
-	cache role = iota
-	parent
-	origin
-	other // caches elsewhere
-)
-
-type node struct {
-	id             uint32
-	role           role
-	zone, cell     int
-	ready          bool
-	booted         bool
-	boot           time.Duration
-	wiped          time.Duration // copies seen before this are gone
-	out            int           // dispatches of ours that it holds
-	room           float64       // most of them, by how timely its answers are
-	late           int           // overdue since its last sign of life
-	aside          time.Duration // set aside until then
-	wait           time.Duration // source: smoothed fill latency
-	waitAt         time.Duration
-	load           Ring // reqs served: L
-	work, sent     Ring // sending time served; sent while cold
-	ok, bad        Ring
-	hops           int // hubs on the way to a parent
-	atHome, handed float64
-}
-
-type share struct {
-	n    *node
-	part float64
-}
-
-type object struct {
-	id    uint64
-	group uint32
-	asks  Ring
-	seen  int
-	last  time.Duration
-	order []*node // the location's caches, home first
-	as    int     // the list's version that order is of
-	away  []share // what of it goes to others than its home; home has the rest
-	hot   bool
-	send  time.Duration // smoothed sending time
-	parts map[uint32]*part
-}
-
-type copyAt struct {
-	n  *node
-	at time.Duration
-}
-
-type part struct {
-	filling *dispatch // a fill of ours that is under way
-	behind  []*req    // reqs that wait for it
-	held    []copyAt
-}
-
-// state of a req
-type state uint8
-
-const (
-	arrived  state = iota
-	queued         // behind another req's fill of the same part
-	out            // a dispatch is out
-	recalled       // its dispatch is being withdrawn, another follows
-	ended          // the one final answer is given, or the client left
-)
-
-type req struct {
-	id       uint32
-	token    uint32
-	state    state
-	v        *vhost
-	obj      *object
-	part     *part
-	partNo   uint32
-	kb       float64
-	came     time.Duration
-	deadline time.Duration
-	sent     []*dispatch
-	open     int
-	mayRun   *dispatch // the first that is not known never to have run
-	queuedAt time.Duration
-	sure     bool // no more guesses at siblings
-}
-
-type dispatch struct {
-	r           *req
-	number      int
-	node        *node
-	source      *node
-	at, overdue time.Duration
-	expectHit   bool
-	sibling     bool
-	late, over  bool
-}
-
-type vhost struct {
-	Vhost
-	mean, dev float64       // of time taken over time expected
-	send      time.Duration // smoothed sending time of its reqs
-}
-
-// Director decides for one instance.
-type Director struct {
-	front             Front
-	set               settings
-	vhosts            []*vhost
-	nodes             map[uint32]*node
-	caches, parents   []*node // ready, by id
-	origin            *node
-	version           int
-	objects           map[uint64]*object
-	table             []*object // the same, oldest first
-	reqs              map[uint32]*req
-	tokens            map[uint32]*req
-	lastToken         uint32
-	outs              []*dispatch
-	purged            map[uint64]time.Duration // by object: when
-	purgedAll         map[uint32]time.Duration // by group
-	fills             int                      // dispatches out that probably need the link in
-	linkRoom          float64                  // most of them
-	again             float64                  // further dispatches saved up
-	asks              Ring
-	took              float64 // sending time that a warm cache takes of us each second
-	fillTook          float64 // the same for a warm parent's fills
-	counter, identity uint64
-}
-
-// settings are the figures derived from those handed over.
-type settings struct {
-	zone, hub, hubs               int
-	parentKind, originKind        int
-	siblings, mayCancel, comeBack bool
-	maxComeBack                   time.Duration
-	maxDispatches                 int
-	kbPerMilli                    float64
-	cache, parent                 Cold
-	purgeSettles                  time.Duration
-	hubOf                         []int
-}
-
-// Start makes a director that knows nothing yet.
-func Start(s Settings, f Front) *Director {
-	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{}, again: againMost, linkRoom: linkAtStart,
-		reqs: map[uint32]*req{}, tokens: map[uint32]*req{}, purged: map[uint64]time.Duration{},
-		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
-	d.identity = s.Seed ^ uint64(s.Me)<<48
-	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
-		siblings: s.Siblings, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
-		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
-		purgeSettles: s.PurgeSettles}
-	if s.Zone < len(s.Hub) {
-		d.set.hub = s.Hub[s.Zone]
-	}
-	for _, h := range s.Hub {
-		d.set.hubs = max(d.set.hubs, h+1)
-	}
-	for _, v := range s.Vhosts {
-		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: 0.5, send: v.Aim / 4})
-	}
-	f.After(period, 0)
-	return d
-}
-
-// Vhosts is how many vhosts the settings named.
-func (d *Director) Vhosts() int { return len(d.vhosts) }
-
 // Req takes a client's req; from here on it is owed one final answer.
 func (d *Director) Req(now time.Duration, a Ask) {
 	d.lastToken++
@@ -369,20 +196,11 @@
 	return true
 }
 
-func (r *req) tried(c *node) bool {
-	for _, x := range r.sent {
-		if x.node == c && !x.sibling {
-			return true
-		}
-	}
-	return false
-}
-
 // holds tells whether a cache very probably has the part: it was seen there lately.
 func (d *Director) holds(now time.Duration, r *req, c *node) bool {
 	for _, h := range r.part.held {
 		if h.n == c {
-			return now-h.at < keepFor && h.at > c.wiped && h.at > d.purgedAt(r.obj) &&
+			return now-h.at < keepFor && h.at >= c.wiped && h.at > d.purgedAt(r.obj) &&
 				(r.v.Fresh == 0 || now-h.at < r.v.Fresh)
 		}
 	}
@@ -396,7 +214,6 @@
 	if r.v.Write || f == nil || f.late || len(r.sent) > 0 || now-r.came > r.v.Aim {
 		return false
 	}
-	r.part.behind = append(r.part.behind, r)
 	d.move(now, r, queued)
 	return true
 }
@@ -439,15 +256,6 @@
 	return fit[0], false
 }
 
-func (r *req) failedBy(p *node) bool {
-	for _, x := range r.sent {
-		if x.source == p {
-			return true
-		}
-	}
-	return false
-}
-
 // waits is the smoothed fill latency; unrenewed it fades, so that a source once slow is tried again.
 func (n *node) waits(now time.Duration) float64 {
 	return float64(n.wait) * math.Exp2(-float64(now-n.waitAt)/float64(restless))
@@ -468,18 +276,6 @@
 	return most
 }
 
-// purgedAt is the newest purge of the object or its group, far back if none is on record.
-func (d *Director) purgedAt(o *object) time.Duration {
-	at := time.Duration(math.MinInt64 / 2)
-	if t, ok := d.purged[o.id]; ok {
-		at = t
-	}
-	if t, ok := d.purgedAll[o.group]; ok {
-		at = max(at, t)
-	}
-	return at
-}
-
 // rank keeps what was asked for once and extra copies lowest: neither may push out a home's copies.
 func (d *Director) rank(now time.Duration, r *req, c *node, order []*node) uint8 {
 	switch {
@@ -496,18 +292,6 @@
 	return slices.ContainsFunc(r.part.held, func(h copyAt) bool { return h.n != c && d.holds(now, r, h.n) })
 }
 
-// warm tells whether a machine is past its ramp.
-func (d *Director) warm(now time.Duration, n *node) bool {
-	return !n.booted || now-n.boot >= d.cold(n).Ramp
-}
-
-func (d *Director) cold(n *node) Cold {
-	if n.role == cache {
-		return d.set.cache
-	}
-	return d.set.parent
-}
-
 // budget guards a cold machine from being pushed over by all directors together: each uses its own part,
 // which is what a warm peer takes of it. One dispatch a window is always allowed.
 func (d *Director) budget(now time.Duration, n *node, r *req) bool {
@@ -554,17 +338,6 @@
 	d.move(now, r, out)
 }
 
-// expected is the time that sending alone should take.
-func (d *Director) expected(r *req) time.Duration {
-	if r.kb > 0 && d.set.kbPerMilli > 0 {
-		return time.Duration(r.kb / d.set.kbPerMilli * float64(time.Millisecond))
-	}
-	if r.obj.send > 0 {
-		return r.obj.send
-	}
-	return r.v.send
-}
-
 const overhead = 100 * time.Millisecond // ways and handshakes, on top of sending
 
 func (d *Director) patience(r *req) time.Duration {
@@ -580,7 +353,7 @@
 	r.state = to
 	switch to {
 	case queued:
-		r.queuedAt = now
+		r.part.behind = append(r.part.behind, r)
 		d.front.After(r.came+r.v.Aim-now, r.token)
 	case recalled, ended:
 		for _, x := range r.sent {
@@ -595,13 +368,6 @@
 	}
 }
 
-// drop forgets a req that has ended and has no dispatch out.
-func (d *Director) drop(r *req) {
-	if r.state == ended && r.open == 0 {
-		delete(d.reqs, r.id)
-	}
-}
-
 // giveUp answers at once, with a denial wherever a retry is harmless.
 func (d *Director) giveUp(now time.Duration, r *req) {
 	d.move(now, r, ended)
@@ -916,16 +682,6 @@
 	}
 }
 
-// awayAt is the share at one cache, or at all but the home.
-func (o *object) awayAt(j *node) (sum float64) {
-	for _, s := range o.away {
-		if j == nil || s.n == j {
-			sum += s.part
-		}
-	}
-	return sum
-}
-
 // shift moves a part of what is at home to j, or back where it is below zero, and keeps the least away.
 func (o *object) shift(j *node, of float64) {
 	by := of * (1 - o.awayAt(nil))
@@ -970,44 +726,6 @@
 	d.took, d.fillTook = d.takes(now, d.caches, d.took), d.takes(now, d.parents, d.fillTook)
 }
 
-// takes is the mean sending time a second that warm machines took of us; with none warm the last stands.
-func (d *Director) takes(now time.Duration, of []*node, last float64) float64 {
-	sum, n := 0.0, 0.0
-	for _, c := range of {
-		if d.warm(now, c) && c.aside <= now {
-			sum += c.work.Rate(now, 0)
-			n++
-		}
-	}
-	if n == 0 {
-		return last
-	}
-	return sum / n
-}
-
-// object finds or makes the record of an object; a full table forgets its oldest.
-func (d *Director) object(now time.Duration, id uint64, group uint32) *object {
-	o := d.objects[id]
-	if o == nil {
-		o = &object{id: id, group: group, asks: NewRing(loadWidth, 2*loadBuckets), as: -1, parts: map[uint32]*part{}}
-		if len(d.table) >= tableSize {
-			delete(d.objects, d.table[0].id)
-			d.table = d.table[1:]
-		}
-		d.objects[id], d.table = o, append(d.table, o)
-	}
-	return o
-}
-
-// Purge notes that copies from before now-ago must not be served.
-func (d *Director) Purge(now time.Duration, group uint32, obj uint64, ago time.Duration) {
-	if obj == 0 {
-		d.purgedAll[group] = max(now-ago, d.purgedAll[group])
-	} else {
-		d.purged[obj] = max(now-ago, d.purged[obj])
-	}
-}
-
 // List takes discovery's news. What drains or is gone is left out from here on, as a source too.
 func (d *Director) List(now time.Duration, list []Listed, whole bool) {
 	if whole {
@@ -1058,26 +776,3 @@
 	slices.SortFunc(d.caches, byID)
 	slices.SortFunc(d.parents, byID)
 }
-
-// hash spreads its words evenly; all directors share it.
-func hash(words ...uint64) uint64 {
-	h := fnv.New64a()
-	var b [8]byte
-	for _, w := range words {
-		binary.LittleEndian.PutUint64(b[:], w)
-		h.Write(b[:])
-	}
-	x := h.Sum64() // FNV's high bits lag behind its low ones
-	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	return x ^ x>>29
-}
-
-// chance is this instance's own: no two calls draw the same.
-func (d *Director) chance(id uint32) uint64 {
-	d.counter++
-	return hash(d.identity, uint64(id), d.counter)
-}
-
-// unit turns a hash into a number above 0 and below 1.
-func unit(h uint64) float64 { return (float64(h>>12) + 0.5) / (1 << 52) }
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"testing/quick"
+	"time"
+)
+
+// TestRules plays random days and checks the five rules after every step.
+func TestRules(t *testing.T) {
+	day := func(seed int64) bool {
+		w := newWorld(seed, 4)
+		for range 400 {
+			switch k := w.rng.Intn(40); {
+			case k < 30:
+				for range w.rng.Intn(4) {
+					w.ask(w.rng.Intn(4), uint64(1+min(w.rng.Intn(40), w.rng.Intn(40))), uint32(w.rng.Intn(3)))
+				}
+			case k < 32:
+				w.purge(uint32(w.rng.Intn(4)), uint64(w.rng.Intn(20)), time.Duration(w.rng.Intn(2))*30*ms)
+			case k == 32:
+				n := []uint32{2, 3, 10, 11, 12, 13}[w.rng.Intn(6)]
+				l := w.list[n]
+				l.State = State(w.rng.Intn(3))
+				w.tell(false, l)
+			case k < 35:
+				for _, n := range []uint32{2, 3, 10, 11, 12, 13}[w.rng.Intn(6):] {
+					l := w.list[n]
+					if l.State != Ready {
+						l.State, l.Booted, l.Boot = Ready, true, w.now
+					}
+					w.tell(false, l)
+				}
+			case k == 35 && w.nextID > 0:
+				if a := w.asks[1+uint32(w.rng.Intn(int(w.nextID)))]; !a.answered {
+					a.answered = true
+					w.d.Left(w.now, a.ID)
+				}
+			}
+			w.run(w.now + time.Duration(w.rng.Intn(80))*ms)
+		}
+		w.run(w.now + 10*time.Second)
+		if w.fault != "" {
+			t.Logf("seed %d: %s", seed, w.fault)
+		}
+		if len(w.d.tokens) != 0 || len(w.d.outs) != 0 || len(w.d.reqs) != 0 || w.d.fills != 0 {
+			t.Logf("seed %d: %d reqs, %d dispatches, %d fills left over", seed, len(w.d.reqs), len(w.d.outs), w.d.fills)
+			return false
+		}
+		return w.fault == ""
+	}
+	if err := quick.Check(day, &quick.Config{MaxCount: 60, Rand: rand.New(rand.NewSource(3))}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// hotWorld has one hot object of which each cache serves a stated number of reqs.
+func hotWorld(caches int, served map[int]int) (*world, *object) {
+	w := newWorld(1, caches)
+	o := w.d.object(0, 5, 0)
+	o.last = 2 * time.Second
+	o.asks.Add(1900*ms, 200)
+	w.d.asks.Add(1900*ms, 400)
+	for i, c := range w.d.order(o) {
+		c.load.Add(1900*ms, float64(served[i]))
+	}
+	return w, o
+}
+
+func TestShiftFollowsTheGap(t *testing.T) {
+	w, o := hotWorld(4, map[int]int{0: 400, 1: 100, 2: 100, 3: 400})
+	w.d.diffuse(2 * time.Second)
+	gap, noise := 150.0, math.Sqrt(500)/2
+	rate := o.asks.Rate(2*time.Second, 0)
+	want := (gap - noise) / 5 // a home and three others: alpha is 1/5
+	if got := o.awayAt(o.order[2]) * rate; math.Abs(got-want) > 0.2*want {
+		t.Errorf("shifted %.1f a second to the third, want about %.1f", got, want)
+	}
+	if got := o.awayAt(o.order[3]); got != 0 {
+		t.Errorf("shifted %.2f to a cache as loaded as the home", got)
+	}
+}
+
+func TestShiftIsCappedByWhatIsAtHome(t *testing.T) {
+	w, o := hotWorld(2, map[int]int{0: 4000})
+	w.d.diffuse(2 * time.Second)
+	if got := o.awayAt(nil); got > 1+1e-9 {
+		t.Errorf("%.2f of the object is away", got)
+	}
+}
+
+func TestReversedGapHandsBack(t *testing.T) {
+	w, o := hotWorld(3, map[int]int{0: 50, 1: 900, 2: 900})
+	o.as = w.d.version
+	o.away = []share{{o.order[1], 0.4}, {o.order[2], 0.4}}
+	w.d.diffuse(2 * time.Second)
+	if got := o.awayAt(nil); got >= 0.8 || got < leastAway-1e-9 {
+		t.Errorf("%.2f away after a reversed gap, from 0.80", got)
+	}
+}
+
+func TestHotObjectReachesTwoCaches(t *testing.T) {
+	w := newWorld(1, 3)
+	for i := range 120 {
+		w.ask(0, 9, uint32(i%12))
+		w.run(w.now + 20*ms)
+	}
+	met := map[uint32]bool{}
+	for _, a := range w.asks {
+		for _, x := range a.tries {
+			met[x.node] = true
+		}
+	}
+	if len(met) < 2 {
+		t.Errorf("a hot object met %d caches", len(met))
+	}
+	w.sound(t)
+}
+
+func TestSourceIsTheQuickerParentElseTheOrigin(t *testing.T) {
+	w := newWorld(1, 3)
+	w.manual = true
+	ask := func() uint32 {
+		w.ask(0, uint64(1000+w.nextID), 0)
+		return w.last.Source
+	}
+	w.d.nodes[2].wait, w.d.nodes[3].wait = 200*ms, 20*ms
+	if got := ask(); got != 3 {
+		t.Errorf("filled from %d, want the quick parent 3", got)
+	}
+	w.d.nodes[2].wait, w.d.nodes[3].wait = 20*ms, 200*ms
+	if got := ask(); got != 2 {
+		t.Errorf("filled from %d, want the quick parent 2", got)
+	}
+	w.tell(false, Listed{Node: 2, State: Gone, Kind: 1}, Listed{Node: 3, State: Draining, Kind: 1})
+	if got := ask(); got != 1 {
+		t.Errorf("filled from %d, want the origin", got)
+	}
+	w.sound(t)
+}
+
+func TestPurgeJustHeardLimitsTheAge(t *testing.T) {
+	w := newWorld(1, 3)
+	w.manual = true
+	w.purge(3, 0, 0)
+	w.ask(0, 7, 0)
+	if w.last.Age != time.Microsecond {
+		t.Errorf("age %v right after the purge of a group never seen", w.last.Age)
+	}
+	w.sound(t)
+}
+
+// A cache that takes reqs and answers none loses them to others well before any client timeout.
+func TestSilentCacheLosesItsReqs(t *testing.T) {
+	w := newWorld(1, 4)
+	w.manual = true
+	var ids []uint32
+	for i := range 40 {
+		ids = append(ids, w.ask(0, uint64(100+i), 0))
+	}
+	hung := w.asks[ids[0]].tries[0].node
+	for range 150 {
+		w.run(w.now + 10*ms)
+		for _, id := range slices.Clone(ids) {
+			for n, x := range w.asks[id].tries {
+				if x.node != hung && w.now-x.at > 60*ms {
+					w.end(id, Outcome{Dispatch: n, Fill: Filled})
+				}
+			}
+		}
+	}
+	for _, id := range ids {
+		if !w.asks[id].answered {
+			t.Fatalf("req %d is still at the silent cache", id)
+		}
+	}
+	w.sound(t)
+}
+
+// A rush on a new object fills it once for each part, not once for each req.
+func TestRushOnANewObjectFillsOnce(t *testing.T) {
+	w := newWorld(1, 4)
+	w.manual = true
+	first := w.ask(0, 77, 0)
+	for range 10 {
+		w.ask(0, 77, 0)
+	}
+	if w.d.fills != 1 {
+		t.Errorf("%d fills of one part are out", w.d.fills)
+	}
+	w.now += 80 * ms
+	w.end(first, Outcome{Fill: Filled})
+	if w.d.fills != 0 {
+		t.Errorf("%d more fills through the link after the first", w.d.fills)
+	}
+	for range 12 {
+		w.now += 50 * ms
+		for id, a := range w.asks {
+			for n := range a.tries {
+				w.end(id, Outcome{Dispatch: n, Fill: Hit})
+			}
+		}
+	}
+	for id, a := range w.asks {
+		if !a.answered {
+			t.Errorf("req %d was never released", id)
+		}
+	}
+	w.sound(t)
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"math"
+	"time"
+)
+
+// Start makes a director that knows nothing yet.
+func Start(s Settings, f Front) *Director {
+	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{}, again: againMost, linkRoom: linkAtStart,
+		reqs: map[uint32]*req{}, tokens: map[uint32]*req{}, purged: map[uint64]time.Duration{},
+		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
+	d.identity = s.Seed ^ uint64(s.Me)<<48
+	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
+		siblings: s.Siblings, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
+		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
+		purgeSettles: s.PurgeSettles}
+	if s.Zone < len(s.Hub) {
+		d.set.hub = s.Hub[s.Zone]
+	}
+	for _, h := range s.Hub {
+		d.set.hubs = max(d.set.hubs, h+1)
+	}
+	for _, v := range s.Vhosts {
+		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: 0.5, send: v.Aim / 4})
+	}
+	f.After(period, 0)
+	return d
+}
+
+// Vhosts is how many vhosts the settings named.
+func (d *Director) Vhosts() int { return len(d.vhosts) }
+
+func (r *req) tried(c *node) bool {
+	for _, x := range r.sent {
+		if x.node == c && !x.sibling {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *req) failedBy(p *node) bool {
+	for _, x := range r.sent {
+		if x.source == p {
+			return true
+		}
+	}
+	return false
+}
+
+// purgedAt is the newest purge of the object or its group, far back if none is on record.
+func (d *Director) purgedAt(o *object) time.Duration {
+	at := time.Duration(math.MinInt64 / 2)
+	if t, ok := d.purged[o.id]; ok {
+		at = t
+	}
+	if t, ok := d.purgedAll[o.group]; ok {
+		at = max(at, t)
+	}
+	return at
+}
+
+// warm tells whether a machine is past its ramp.
+func (d *Director) warm(now time.Duration, n *node) bool {
+	return !n.booted || now-n.boot >= d.cold(n).Ramp
+}
+
+func (d *Director) cold(n *node) Cold {
+	if n.role == cache {
+		return d.set.cache
+	}
+	return d.set.parent
+}
+
+// drop forgets a req that has ended and has no dispatch out.
+func (d *Director) drop(r *req) {
+	if r.state == ended && r.open == 0 {
+		delete(d.reqs, r.id)
+	}
+}
+
+// awayAt is the share at one cache, or at all but the home.
+func (o *object) awayAt(j *node) (sum float64) {
+	for _, s := range o.away {
+		if j == nil || s.n == j {
+			sum += s.part
+		}
+	}
+	return sum
+}
+
+// takes is the mean sending time a second that warm machines took of us; with none warm the last stands.
+func (d *Director) takes(now time.Duration, of []*node, last float64) float64 {
+	sum, n := 0.0, 0.0
+	for _, c := range of {
+		if d.warm(now, c) && c.aside <= now {
+			sum += c.work.Rate(now, 0)
+			n++
+		}
+	}
+	if n == 0 {
+		return last
+	}
+	return sum / n
+}
+
+// object finds or makes the record of an object; a full table forgets its oldest.
+func (d *Director) object(now time.Duration, id uint64, group uint32) *object {
+	o := d.objects[id]
+	if o == nil {
+		o = &object{id: id, group: group, asks: NewRing(loadWidth, 2*loadBuckets), as: -1, parts: map[uint32]*part{}}
+		if len(d.table) >= tableSize {
+			delete(d.objects, d.table[0].id)
+			d.table = d.table[1:]
+		}
+		d.objects[id], d.table = o, append(d.table, o)
+	}
+	return o
+}
+
+// Purge notes that copies from before now-ago must not be served.
+func (d *Director) Purge(now time.Duration, group uint32, obj uint64, ago time.Duration) {
+	if obj == 0 {
+		d.purgedAll[group] = max(now-ago, d.purgedAll[group])
+	} else {
+		d.purged[obj] = max(now-ago, d.purged[obj])
+	}
+}
+
+// expected is the time that sending alone should take.
+func (d *Director) expected(r *req) time.Duration {
+	if r.kb > 0 && d.set.kbPerMilli > 0 {
+		return time.Duration(r.kb / d.set.kbPerMilli * float64(time.Millisecond))
+	}
+	if r.obj.send > 0 {
+		return r.obj.send
+	}
+	return r.v.send
+}
--- a/control/types.go
+++ b/control/types.go
@@ -162,3 +162,149 @@
 	Final    bool      // the req is finished, by this or before it
 	Load     []float64 // the cache's report in the order of the settings, if any came
 }
+
+// What a director keeps. Objects point to each other; ids are used only at the door.
+
+type role uint8
+
+const (
+	cache role = iota
+	parent
+	origin
+	other // caches elsewhere
+)
+
+type node struct {
+	id             uint32
+	role           role
+	zone, cell     int
+	ready          bool
+	booted         bool
+	boot           time.Duration
+	wiped          time.Duration // copies seen before this are gone
+	out            int           // dispatches of ours that it holds
+	room           float64       // most of them, by how timely its answers are
+	late           int           // overdue since its last sign of life
+	aside          time.Duration // set aside until then
+	wait           time.Duration // source: smoothed fill latency
+	waitAt         time.Duration
+	load           Ring // reqs served: L
+	work, sent     Ring // sending time served; sent while cold
+	ok, bad        Ring
+	hops           int // hubs on the way to a parent
+	atHome, handed float64
+}
+
+type share struct {
+	n    *node
+	part float64
+}
+
+type object struct {
+	id    uint64
+	group uint32
+	asks  Ring
+	seen  int
+	last  time.Duration
+	order []*node // the location's caches, home first
+	as    int     // the list's version that order is of
+	away  []share // what of it goes to others than its home; home has the rest
+	hot   bool
+	send  time.Duration // smoothed sending time
+	parts map[uint32]*part
+}
+
+type copyAt struct {
+	n  *node
+	at time.Duration
+}
+
+type part struct {
+	filling *dispatch // a fill of ours that is under way
+	behind  []*req    // reqs that wait for it
+	held    []copyAt
+}
+
+// state of a req
+type state uint8
+
+const (
+	arrived  state = iota
+	queued         // behind another req's fill of the same part
+	out            // a dispatch is out
+	recalled       // its dispatch is being withdrawn, another follows
+	ended          // the one final answer is given, or the client left
+)
+
+type req struct {
+	id       uint32
+	token    uint32
+	state    state
+	v        *vhost
+	obj      *object
+	part     *part
+	partNo   uint32
+	kb       float64
+	came     time.Duration
+	deadline time.Duration
+	sent     []*dispatch
+	open     int
+	mayRun   *dispatch // the first that is not known never to have run
+	sure     bool      // no more guesses at siblings
+}
+
+type dispatch struct {
+	r           *req
+	number      int
+	node        *node
+	source      *node
+	at, overdue time.Duration
+	expectHit   bool
+	sibling     bool
+	late, over  bool
+}
+
+type vhost struct {
+	Vhost
+	mean, dev float64       // of time taken over time expected
+	send      time.Duration // smoothed sending time of its reqs
+}
+
+// Director decides for one instance.
+type Director struct {
+	front             Front
+	set               settings
+	vhosts            []*vhost
+	nodes             map[uint32]*node
+	caches, parents   []*node // ready, by id
+	origin            *node
+	version           int
+	objects           map[uint64]*object
+	table             []*object // the same, oldest first
+	reqs              map[uint32]*req
+	tokens            map[uint32]*req
+	lastToken         uint32
+	outs              []*dispatch
+	purged            map[uint64]time.Duration // by object: when
+	purgedAll         map[uint32]time.Duration // by group
+	fills             int                      // dispatches out that probably need the link in
+	linkRoom          float64                  // most of them
+	again             float64                  // further dispatches saved up
+	asks              Ring
+	took              float64 // sending time that a warm cache takes of us each second
+	fillTook          float64 // the same for a warm parent's fills
+	counter, identity uint64
+}
+
+// settings are the figures derived from those handed over.
+type settings struct {
+	zone, hub, hubs               int
+	parentKind, originKind        int
+	siblings, mayCancel, comeBack bool
+	maxComeBack                   time.Duration
+	maxDispatches                 int
+	kbPerMilli                    float64
+	cache, parent                 Cold
+	purgeSettles                  time.Duration
+	hubOf                         []int
+}
--- /dev/null
+++ b/control/world_test.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// world is a Front with machines behind it and a checker of the five rules that shares nothing with the module.
+type world struct {
+	rng    *rand.Rand
+	set    Settings
+	d      *Director
+	now    time.Duration
+	due    []pending
+	asks   map[uint32]*asked
+	list   map[uint32]Listed
+	purges []purge
+	sends  []sent
+	nextID uint32
+	fault  string
+	manual bool // outcomes come from the test, not by chance
+	last   Order
+}
+
+type pending struct {
+	at    time.Duration
+	token uint32
+	id    uint32
+	o     *Outcome
+}
+
+type asked struct {
+	Ask
+	answered bool
+	tries    []*try
+}
+
+type try struct {
+	node     uint32
+	at       time.Duration
+	over     bool
+	neverRan bool
+	recall   bool
+}
+
+type purge struct {
+	group uint32
+	obj   uint64
+	at    time.Duration // of the purge
+	told  time.Duration
+}
+
+type sent struct {
+	node uint32
+	at   time.Duration
+	work float64
+}
+
+func settings0() Settings {
+	return Settings{Seed: 7, Zone: 1, Hub: []int{0, 0}, Directors: []int{0, 1}, Instances: 1, ParentKind: 1, OriginKind: 2,
+		Siblings: true, MayCancel: true, ComeBack: true, MaxComeBack: time.Second, MaxDispatches: 5,
+		Cache:  Cold{Floor: 0.2, Ramp: 15 * time.Second, Multiple: 3, Window: time.Second},
+		Parent: Cold{Floor: 0.1, Ramp: 15 * time.Second, Multiple: 2, Window: time.Second}, PurgeSettles: 6 * time.Second,
+		Vhosts: []Vhost{
+			{Aim: 400 * ms, Stretch: 2, Timeout: 4 * time.Second, Value: 2, InParts: true},
+			{Aim: 250 * ms, Stretch: 2, Timeout: 2 * time.Second, Value: 1, Fresh: 8 * time.Second, Grace: 4 * time.Second},
+			{Aim: 600 * ms, Timeout: 3 * time.Second, Value: 3, Effect: Uniqued, Group: GroupCell, Window: 150 * ms, Write: true},
+			{Aim: 600 * ms, Timeout: 3 * time.Second, Value: 3, Effect: NonReplayable, Write: true},
+		}}
+}
+
+// newWorld lists an origin (1), two parents (2, 3) and some caches (10 on), two to a cell.
+func newWorld(seed int64, caches int) *world {
+	w := &world{rng: rand.New(rand.NewSource(seed)), set: settings0(), asks: map[uint32]*asked{}, list: map[uint32]Listed{}}
+	w.d = Start(w.set, w)
+	w.tell(true, Listed{Node: 1, State: Ready, Kind: 2}, Listed{Node: 2, State: Ready, Kind: 1}, Listed{Node: 3, State: Ready, Kind: 1})
+	for i := range caches {
+		w.tell(false, Listed{Node: uint32(10 + i), State: Ready, Zone: 1, Cell: i / 2})
+	}
+	return w
+}
+
+func (w *world) tell(whole bool, entries ...Listed) {
+	if whole {
+		w.list = map[uint32]Listed{}
+	}
+	for _, l := range entries {
+		w.list[l.Node] = l
+	}
+	w.d.List(w.now, entries, whole)
+}
+
+func (w *world) blame(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf("%v: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) ask(vhost int, obj uint64, part uint32) uint32 {
+	w.nextID++
+	v := w.set.Vhosts[vhost]
+	a := &asked{Ask: Ask{ID: w.nextID, Obj: obj, Part: part, Group: uint32(obj % 4), Vhost: vhost,
+		Deadline: w.now + v.Timeout/2 + time.Duration(w.rng.Int63n(int64(v.Timeout/2)))}}
+	w.asks[a.ID] = a
+	w.d.Req(w.now, a.Ask)
+	return a.ID
+}
+
+func (w *world) purge(group uint32, obj uint64, ago time.Duration) {
+	w.purges = append(w.purges, purge{group, obj, w.now - ago, w.now})
+	w.d.Purge(w.now, group, obj, ago)
+}
+
+// run lets time pass, with the timers and outcomes that fall due.
+func (w *world) run(until time.Duration) {
+	for {
+		next := -1
+		for i, p := range w.due {
+			if p.at <= until && (next < 0 || p.at < w.due[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		p := w.due[next]
+		w.due = slices.Delete(w.due, next, next+1)
+		w.now = max(w.now, p.at)
+		if p.o == nil {
+			w.d.Timer(w.now, p.token)
+		} else {
+			w.end(p.id, *p.o)
+		}
+		w.late()
+	}
+	w.now = until
+	w.late()
+}
+
+func (w *world) end(id uint32, o Outcome) {
+	a := w.asks[id]
+	t := a.tries[o.Dispatch]
+	if t.over {
+		return
+	}
+	t.over = true
+	o.Took = w.now - t.at
+	t.neverRan = o.Ending == Full || o.Ending == NoConnect || o.Ending == Moot || o.Ending == Miss
+	if o.Ending == Done && !a.answered {
+		a.answered = true
+	}
+	o.Final = a.answered
+	w.d.Outcome(w.now, id, o)
+}
+
+func (w *world) late() {
+	for id, a := range w.asks {
+		if !a.answered && w.now > a.Deadline {
+			w.blame("rule 1: req %d has no answer at its client timeout %v", id, a.Deadline)
+		}
+	}
+}
+
+func (w *world) open(id uint32) *asked {
+	a := w.asks[id]
+	if a.answered {
+		w.blame("rule 1: req %d is acted on after its final answer", id)
+	}
+	return a
+}
+
+func (w *world) Dispatch(id uint32, o Order) {
+	a := w.open(id)
+	v := w.set.Vhosts[a.Vhost]
+	w.last = o
+	if len(a.tries) >= w.set.MaxDispatches {
+		w.blame("req %d is dispatched too often", id)
+	}
+	for _, t := range a.tries {
+		if !t.over {
+			w.blame("rule 2: req %d has two dispatches out", id)
+		}
+		if t.over && t.neverRan {
+			continue
+		}
+		switch {
+		case v.Effect == NonReplayable:
+			w.blame("rule 2: non-replayable req %d is sent again", id)
+		case v.Effect == Uniqued && (w.list[t.node].Cell != w.list[o.Node].Cell || w.now >= t.at+v.Window):
+			w.blame("rule 2: uniqued req %d is sent out of its group or window", id)
+		}
+	}
+	for _, n := range []uint32{o.Node, o.Source} {
+		if w.list[n].State != Ready {
+			w.blame("rule 3: %d is used while not ready", n)
+		}
+		if l := w.list[n]; l.Booted && w.now-l.Boot < 15*time.Second {
+			w.cold(l, v)
+		}
+	}
+	if l := w.list[o.Node]; l.Zone != 1 || l.Kind != 0 {
+		w.blame("%d is no cache of the location", o.Node)
+	}
+	if v.Write && (o.Rank != 0 || w.list[o.Source].Kind == 0) {
+		w.blame("write %d is kept or does not reach the origin", id)
+	}
+	if most := v.Fresh + v.Grace; v.Fresh > 0 && o.Age > most {
+		w.blame("age %v over %v", o.Age, most)
+	}
+	for _, p := range w.purges {
+		if (p.obj == a.Obj || p.obj == 0 && p.group == a.Group) && w.now-p.at < w.set.PurgeSettles && !v.Write {
+			if most := w.now - p.at; v.Fresh == 0 && o.Age == 0 || o.Age > max(most, time.Microsecond) || o.Age == 0 && v.Fresh > most {
+				w.blame("rule 5: age %v will do %v after a purge", o.Age, most)
+			}
+		}
+	}
+	a.tries = append(a.tries, &try{node: o.Node, at: w.now})
+	if !w.manual {
+		w.answer(a, len(a.tries)-1)
+	}
+}
+
+// cold keeps the budget of a machine that takes 4 reqs of 100 ms at once when warm.
+func (w *world) cold(l Listed, v Vhost) {
+	k := w.set.Cache
+	if l.Kind == 1 {
+		k = w.set.Parent
+	}
+	w.sends = append(w.sends, sent{l.Node, w.now, 0.1})
+	sum := 0.0
+	for _, s := range w.sends {
+		if s.node == l.Node && s.at > w.now-k.Window && s.at >= l.Boot {
+			sum += s.work
+		}
+	}
+	part := k.Floor + (1-k.Floor)*float64(w.now-l.Boot)/float64(k.Ramp)
+	if sum > 0.1+k.Multiple*part*4*k.Window.Seconds() {
+		w.blame("rule 4: cold %d is sent %.2f s of work in its window", l.Node, sum)
+	}
+}
+
+func (w *world) answer(a *asked, n int) {
+	o := &Outcome{Dispatch: n}
+	took := 50*ms + time.Duration(w.rng.Int63n(int64(150*ms)))
+	switch k := w.rng.Intn(20); {
+	case k < 3:
+		o.Ending = []Ending{Failed, Full, TimedOut, NoConnect, Reset, Miss}[w.rng.Intn(6)]
+		o.Fill = Fill(w.rng.Intn(11))
+	case k == 3:
+		took = time.Duration(w.rng.Int63n(int64(8 * time.Second)))
+	default:
+		o.Fill = Fill(1 + w.rng.Intn(3))
+	}
+	w.due = append(w.due, pending{at: w.now + took, id: a.ID, o: o})
+}
+
+func (w *world) Cancel(id uint32, n int) {
+	if n >= len(w.asks[id].tries) {
+		w.blame("cancel of a dispatch never made")
+		return
+	}
+	w.due = append(w.due, pending{at: w.now + ms, id: id, o: &Outcome{Dispatch: n, Ending: Cancelled}})
+}
+
+func (w *world) Deny(id uint32, back time.Duration) {
+	a := w.open(id)
+	a.answered = true
+	for _, t := range a.tries {
+		v := w.set.Vhosts[a.Vhost]
+		if !(t.over && t.neverRan) && v.Effect != Replayable && !(v.Effect == Uniqued && v.Group == GroupAll) {
+			w.blame("rule 2: req %d is denied though it may have run", id)
+		}
+	}
+	if back > w.set.MaxComeBack {
+		w.blame("asked to come back after %v", back)
+	}
+}
+
+func (w *world) Abort(id uint32) { w.open(id).answered = true }
+
+func (w *world) After(wait time.Duration, token uint32) {
+	w.due = append(w.due, pending{at: w.now + max(wait, ms), token: token})
+}
+
+func (w *world) sound(t *testing.T) {
+	t.Helper()
+	if w.fault != "" {
+		t.Fatal(w.fault)
+	}
+}
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -21,11 +21,10 @@
 
 // instance is one director's side of the wire; it implements control.Front.
 type instance struct {
-	host  *host
-	who   uint16
-	born  uint64 // clock of its start, in microseconds
-	zones int
-	dir   *control.Director
+	host *host
+	who  uint16
+	born uint64 // clock of its start, in microseconds
+	dir  *control.Director
 }
 
 const biggestFrame = 1 << 30
@@ -102,7 +101,7 @@
 				return fmt.Errorf("offset %d: create: %w", start, err)
 			}
 			set.Seed = seed
-			in = &instance{host: h, who: who, born: clock, zones: len(set.Hub)}
+			in = &instance{host: h, who: who, born: clock}
 			in.dir = control.Start(set, in)
 			h.instances[who] = in
 		case evAnnounce:
@@ -243,7 +242,10 @@
 
 // wireMicros rounds up to whole microseconds and keeps within the field.
 func wireMicros(d time.Duration) uint32 {
-	us := (d + time.Microsecond - 1) / time.Microsecond
+	us := d / time.Microsecond
+	if d%time.Microsecond > 0 {
+		us++
+	}
 	return uint32(min(max(us, 0), math.MaxInt32))
 }
 
