Room by how many sending times the aim leaves; an answer past 0.85 of its aim is a sign of crowding

Cause: denials fell on all reqs alike and crowding was noticed only once answers were late. Now a req whose aim leaves it few sending times is denied first. Guards also against slow machines and thin links. Harms where aims are missed for reasons outside (sizes not told).

--- a/control/control.go
+++ b/control/control.go
@@ -32,6 +32,9 @@
 	roomAtStart = 12                   // dispatches out at a cache, until its answers tell more
 	roomLeast   = 2                    // so that there is always something to learn from
 	roomQuick   = 8                    // below it each timely answer makes room for one more
+	timely      = 0.85                 // of its aim: an answer that took longer is a sign of too much already
+	usualSlack  = 4                    // aims of so many sending times get the room as it is, tighter ones less
+	mostSlack   = 2                    // and looser ones at most this multiple
 	linkAtStart = 24                   // the same for fills through the location's link
 	coldSafety  = 0.5                  // part of a cold machine's budget that is used: capacity is a guess
 	againEach   = 0.15                 // further dispatches earned by each req
@@ -74,7 +77,7 @@
 	if !hit && d.waits(now, r) {
 		return
 	}
-	if !hit && float64(d.fills) >= d.linkRoom {
+	if !hit && float64(d.fills) >= d.linkRoom*d.slack(r) {
 		d.giveUp(now, r)
 		return
 	}
@@ -148,7 +151,7 @@
 		if last == nil || c.aside < last.aside {
 			last = c
 		}
-		if c.aside > now || float64(c.out) >= c.room || r.tried(c) {
+		if c.aside > now || float64(c.out) >= c.room*d.slack(r) || r.tried(c) {
 			return false
 		}
 		if float64(c.out) > crowdTimes*mean+crowdPlus {
@@ -413,7 +416,7 @@
 	if !x.expectHit && !x.sibling {
 		d.fills--
 	}
-	good := o.Ending == Done && o.Took <= d.aim(r)
+	good := o.Ending == Done && float64(o.Took) <= timely*float64(d.aim(r))
 	switch {
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
 	case x.expectHit || o.Fill == Hit:
@@ -527,7 +530,13 @@
 	n.ok.Add(now, 1)
 }
 
-// timely is the aim of a req, from its coming in.
+// slack widens the room for a req whose aim leaves it many sending times, and narrows it for one that a
+// little crowding makes late: under pressure what costs most for its value is denied first.
+func (d *Director) slack(r *req) float64 {
+	return min(mostSlack, float64(d.aim(r))/float64(d.expected(r)+1)/usualSlack)
+}
+
+// aim is how long a req's answer may take.
 func (d *Director) aim(r *req) time.Duration {
 	return min(r.v.Timeout, r.v.Aim+time.Duration(r.v.Stretch*float64(d.expected(r))))
 }
