--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	roomLeast   = 2                    // so that there is always something to learn from
 	roomQuick   = 8                    // below it each timely answer makes room for one more
 	timely      = 0.85                 // of its aim: an answer that took longer is a sign of too much already
+	unsized     = 1.4                  // and longer by this where the size is not known: it may just be large
 	usualSlack  = 4                    // aims of so many sending times get the room as it is, tighter ones less
 	mostSlack   = 2                    // and looser ones at most this multiple
 	linkAtStart = 24                   // the same for fills through the location's link
@@ -416,7 +417,11 @@
 	if !x.expectHit && !x.sibling {
 		d.fills--
 	}
-	good := o.Ending == Done && float64(o.Took) <= timely*float64(d.aim(r))
+	limit := timely * float64(d.aim(r))
+	if !d.sized(r) {
+		limit *= unsized
+	}
+	good := o.Ending == Done && float64(o.Took) <= limit
 	switch {
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
 	case x.expectHit || o.Fill == Hit:
@@ -521,6 +526,9 @@
 			r.obj.send = o.Took
 		}
 		r.obj.send += (o.Took - r.obj.send) / 4
+		if r.part.send == 0 || o.Took < r.part.send {
+			r.part.send = o.Took
+		}
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -133,8 +133,14 @@
 	if r.kb > 0 && d.set.kbPerMilli > 0 {
 		return time.Duration(r.kb / d.set.kbPerMilli * float64(time.Millisecond))
 	}
+	if r.part.send > 0 {
+		return r.part.send
+	}
 	if r.obj.send > 0 {
 		return r.obj.send
 	}
 	return r.v.send
 }
+
+// sized tells whether the sending time of a req is known: its size is told, or the part was sent before.
+func (d *Director) sized(r *req) bool { return r.kb > 0 || r.part.send > 0 }
--- a/control/types.go
+++ b/control/types.go
@@ -223,6 +223,7 @@
 	filling *dispatch // a fill of ours that is under way
 	behind  []*req    // reqs that wait for it
 	held    []copyAt
+	send    time.Duration // least time that sending it took, where sizes are not told
 }
 
 // state of a req
