--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,8 @@
 package control
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +18,7 @@
 	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long enough to rise
 	loadBuckets = 4                      // over the noise of single reqs, short against a hot object's stay
 	hotShare    = 0.04                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
+	leastShare  = 0.01                   // a share below it goes back
 	leastAway   = 0.25                   // a hot object's part outside its home, whatever the gap
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
@@ -24,32 +27,34 @@
 	crowdPlus   = 1                      // and this many more: a few are chance
 	leastWait   = 400 * time.Millisecond // no dispatch is overdue before this: pauses are shorter
 	mostWait    = 2500 * time.Millisecond
-	waitDevs    = 4                    // an overdue dispatch took this many mean deviations over the mean
-	silentAt    = 3                    // overdue dispatches since the last sign of life that mean silence
-	badAt       = 3                    // failures that are not chance
-	badOver     = 0.3                  // share of failures above the fleet's median
-	asideFor    = 2 * time.Second      // set aside for this and up to half as much again by chance
-	roomAtStart = 12                   // dispatches out at a cache, until its answers tell more
-	roomLeast   = 2                    // so that there is always something to learn from
-	roomQuick   = 8                    // below it each timely answer makes room for one more
-	timely      = 0.85                 // of its aim: an answer that took longer is a sign of too much already
-	unsized     = 1.4                  // and longer by this where the size is not known: it may just be large
-	usualSlack  = 4                    // aims of so many sending times get the room as it is, tighter ones less
-	mostSlack   = 2                    // and looser ones at most this multiple
-	linkAtStart = 24                   // the same for fills through the location's link
-	coldSafety  = 0.5                  // part of a cold machine's budget that is used: capacity is a guess
-	againEach   = 0.15                 // further dispatches earned by each req
-	againMost   = 25                   // and saved up: a cache's worth of reqs
-	answerEarly = 6 * time.Millisecond // the last answer leaves this long before the client timeout
-	clearly     = 1.5                  // the second parent of an object's pair must be quicker by this: the first may have the object
-	settle      = 1.0 / 16             // weight of one more sample in what is smoothed
-	restless    = 3 * time.Second      // half-life of a source's fill latency that is not renewed
+	overhead    = 100 * time.Millisecond // ways and handshakes, on top of sending
+	waitDevs    = 4                      // an overdue dispatch took this many mean deviations over the mean
+	silentAt    = 3                      // overdue dispatches since the last sign of life that mean silence
+	badAt       = 3                      // failures that are not chance
+	badOver     = 0.3                    // share of failures above the fleet's median
+	asideFor    = 2 * time.Second        // set aside for this and up to half as much again by chance
+	roomAtStart = 12                     // dispatches out at a cache, until its answers tell more
+	roomLeast   = 2                      // so that there is always something to learn from
+	roomQuick   = 8                      // below it each timely answer makes room for one more
+	timely      = 0.85                   // of its aim: an answer that took longer is a sign of too much already
+	unsized     = 1.4                    // and longer by this where the size is not known: it may just be large
+	usualSlack  = 4                      // aims of so many sending times get the room as it is, tighter ones less
+	mostSlack   = 2                      // and looser ones at most this multiple
+	linkAtStart = 24                     // the same for fills through the location's link
+	coldSafety  = 0.5                    // part of a cold machine's budget that is used: capacity is a guess
+	againEach   = 0.15                   // further dispatches earned by each req
+	againMost   = 25                     // and saved up: a cache's worth of reqs
+	answerEarly = 6 * time.Millisecond   // the last answer leaves this long before the client timeout
+	clearly     = 1.5                    // the second parent of an object's pair must be quicker by this: the first may have the object
+	settle      = 1.0 / 16               // weight of one more sample in what is smoothed
+	restless    = 3 * time.Second        // half-life of a source's fill latency that is not renewed
 )
 
 // Req takes a client's req; from here on it is owed one final answer.
 func (d *Director) Req(now time.Duration, a Ask) {
 	d.lastToken++
-	r := &req{id: a.ID, token: d.lastToken, v: d.vhosts[a.Vhost], partNo: a.Part, kb: a.KB, came: now, deadline: a.Deadline}
+	r := &req{id: a.ID, token: d.lastToken, v: d.vhosts[a.Vhost], partNo: a.Part, kb: a.KB, came: now,
+		deadline: a.Deadline}
 	d.reqs[r.id], d.tokens[r.token] = r, r
 	r.obj = d.object(now, a.Obj, a.Group)
 	if r.part = r.obj.parts[a.Part]; r.part == nil {
@@ -68,8 +73,12 @@
 // route is the ordinary path of a req, and of each further dispatch of it.
 func (d *Director) route(now time.Duration, r *req) {
 	order := d.order(r.obj)
-	pick := d.follow(now, r, order)   // home, or another by the shares of a hot object
-	c := d.guard(now, r, pick, order) // a stand-in where the pick is not fit
+	pick := d.follow(now, r, order)                                     // home, or another by the shares of a hot object
+	c := d.guard(now, r, pick, order)                                   // a stand-in where the pick is not fit
+	passBy := c == nil && d.set.direct && !r.v.Write && d.origin != nil // straight to a parent where no cache is fit
+	if passBy {
+		c, _ = d.source(now, r, nil)
+	}
 	if c == nil {
 		d.giveUp(now, r)
 		return
@@ -83,7 +92,9 @@
 		return
 	}
 	x := &dispatch{r: r, number: len(r.sent), node: c, at: now, expectHit: hit}
-	x.source, x.sibling = d.source(now, r, c)
+	if x.source = d.origin; !passBy {
+		x.source, x.sibling = d.source(now, r, c)
+	}
 	o := Order{Node: c.id, Source: x.source.id, HeldOnly: x.sibling, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
 	o.Renew = r.v.Fresh > 0 && r.obj.seen > 1
 	d.send(now, r, x, o)
@@ -93,17 +104,16 @@
 func (d *Director) order(o *object) []*node {
 	if o.as != d.version {
 		o.as, o.order = d.version, slices.Clone(d.caches)
-		slices.SortFunc(o.order, func(a, b *node) int {
-			if hash(o.id, uint64(a.id)) > hash(o.id, uint64(b.id)) {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(o.order, byHash(o.id))
 		o.away = slices.DeleteFunc(o.away, func(s share) bool { return !s.n.ready || s.n == o.order[0] })
 	}
 	return o.order
 }
 
+func byHash(obj uint64) func(a, b *node) int {
+	return func(a, b *node) int { return cmp.Compare(hash(obj, uint64(b.id)), hash(obj, uint64(a.id))) }
+}
+
 // follow draws by the shares, weighted rendezvous style. A part of an object in parts draws the same
 // cache while shares stay, so that parts spread without a second fill; others draw by chance.
 func (d *Director) follow(now time.Duration, r *req, order []*node) *node {
@@ -149,7 +159,7 @@
 		if c == nil || !d.budget(now, c, r) || !r.allowed(now, c) {
 			return false
 		}
-		if last == nil || c.aside < last.aside {
+		if c.out < roomLeast && (last == nil || c.aside < last.aside) {
 			last = c
 		}
 		if c.aside > now || float64(c.out) >= c.room*d.slack(r) || r.tried(c) {
@@ -176,7 +186,7 @@
 			return c
 		}
 	}
-	if second == nil && last != nil && last.aside > now {
+	if second == nil && last != nil && last.aside > now && !d.set.direct {
 		return last
 	}
 	return second
@@ -226,12 +236,12 @@
 // a sibling that was seen to hold the part gives it without the link in and the parents.
 func (d *Director) source(now time.Duration, r *req, c *node) (*node, bool) {
 	if r.v.Write && d.origin != nil {
-		return d.origin, false
+		return d.origin, false // a parent holds no writes
 	}
-	if d.set.siblings && !r.sure {
+	if c != nil && d.set.siblings && !r.sure {
 		for _, h := range r.part.held {
-			if h.n != c && h.n.role == cache && h.n.ready && h.n.aside <= now && float64(h.n.out) < h.n.room && d.holds(now, r, h.n) &&
-				d.warm(now, h.n) {
+			if h.n != c && h.n.ready && h.n.aside <= now && float64(h.n.out) < h.n.room &&
+				d.holds(now, r, h.n) && d.warm(now, h.n) {
 				return h.n, true
 			}
 		}
@@ -248,12 +258,7 @@
 		}
 		return c, false
 	}
-	slices.SortFunc(fit, func(a, b *node) int {
-		if hash(r.obj.id, uint64(a.id)) > hash(r.obj.id, uint64(b.id)) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(fit, byHash(r.obj.id))
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
 		return fit[1], false
 	}
@@ -342,8 +347,7 @@
 	d.move(now, r, out)
 }
 
-const overhead = 100 * time.Millisecond // ways and handshakes, on top of sending
-
+// patience is how long a dispatch may take before its silence counts.
 func (d *Director) patience(r *req) time.Duration {
 	usual := float64(d.expected(r)+overhead) * (r.v.mean + waitDevs*r.v.dev)
 	return min(mostWait, max(leastWait, time.Duration(usual)))
@@ -473,7 +477,7 @@
 		d.alive(now, c)
 		c.load.Add(now, 1)
 		c.work.Add(now, r.v.send.Seconds())
-		x.fit(d, now, o)
+		x.fit(d, o)
 		if o.Fill == Filled || o.Fill == FilledByOrigin {
 			d.alive(now, s)
 			s.work.Add(now, r.v.send.Seconds())
@@ -497,23 +501,23 @@
 		fallthrough
 	case o.Ending == Failed, o.Ending == TimedOut && !(x.late && s.late >= silentAt):
 		c.bad.Add(now, 1)
+		c.late++
 		d.judge(now, c)
 	}
 	if o.Fill == Hit && s.role != cache && !d.warm(now, s) {
 		s.sent.Add(now, -r.v.send.Seconds()) // it never asked the source
 	}
-	held := o.Ending == Done && !r.v.Write
-	r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool { return h.n == c && (held || o.Ending == Miss && !x.sibling) })
-	if x.sibling && o.Ending == Miss {
-		r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool { return h.n == s })
-	}
+	held := o.Ending == Done && !r.v.Write && c.role == cache
+	r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool {
+		return h.n == c && (held || o.Ending == Miss) || h.n == s && o.Ending == Miss
+	})
 	if held {
 		r.part.held = append(r.part.held, copyAt{c, x.at})
 	}
 }
 
 // fit smooths sending times and how far the time taken lies from the time expected.
-func (x *dispatch) fit(d *Director, now time.Duration, o Outcome) {
+func (x *dispatch) fit(d *Director, o Outcome) {
 	r, v := x.r, x.r.v
 	ratio := float64(o.Took) / float64(d.expected(r)+overhead)
 	v.dev += (math.Abs(ratio-v.mean) - v.dev) * settle
@@ -574,18 +578,19 @@
 	}
 	slices.Sort(shares)
 	bad := n.bad.Sum(now)
-	if len(shares) > 0 && (bad >= badAt || n.room < badAt) && bad/(bad+n.ok.Sum(now)) > shares[(len(shares)-1)/2]+badOver {
+	if n.late >= silentAt || len(shares) > 0 && (bad >= badAt || n.room < badAt) &&
+		bad/(bad+n.ok.Sum(now)) > shares[(len(shares)-1)/2]+badOver {
 		d.setAside(now, n)
 	}
 }
 
 // setAside takes a machine out for a fixed time and a random part; its reqs move on, its shares go back.
-// A third of the location's caches stay, whatever they look like: the rest must not drown.
+// A third of the location's caches stay unless they give no sign of life: the rest must not drown.
 func (d *Director) setAside(now time.Duration, n *node) {
 	if n.aside > now || n.role == origin {
 		return
 	}
-	if n.role == cache {
+	if n.role == cache && n.late < silentAt {
 		left := 0
 		for _, c := range d.caches {
 			if c != n && c.aside <= now {
@@ -705,41 +710,33 @@
 	if of < 0 {
 		by = of * o.awayAt(j)
 	}
-	at := slices.IndexFunc(o.away, func(s share) bool { return s.n == j })
-	if at < 0 && by > 0 {
-		o.away = append(o.away, share{j, by})
-	} else if at >= 0 {
-		o.away[at].part += by
-		o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.part < 0.01 })
-	}
+	o.give(j, by)
+	o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.part < leastShare })
 	if lack := leastAway - o.awayAt(nil); lack > 0 {
-		if at := slices.IndexFunc(o.away, func(s share) bool { return s.n == o.order[1] }); at >= 0 {
-			o.away[at].part += lack
-		} else {
-			o.away = append(o.away, share{o.order[1], lack})
-		}
+		o.give(o.order[1], lack)
+	}
+}
+
+func (o *object) give(j *node, by float64) {
+	if at := slices.IndexFunc(o.away, func(s share) bool { return s.n == j }); at >= 0 {
+		o.away[at].part += by
+	} else {
+		o.away = append(o.away, share{j, by})
 	}
 }
 
 // tidy ages the table and the purges, and renews what a warm machine takes of us.
 func (d *Director) tidy(now time.Duration) {
 	d.table = slices.DeleteFunc(d.table, func(o *object) bool {
-		gone := now-o.last > forgetAfter && len(d.table) > 0
+		gone := now-o.last > forgetAfter
 		if gone {
 			delete(d.objects, o.id)
 		}
 		return gone
 	})
-	for id, at := range d.purged {
-		if now-at > d.set.purgeSettles+time.Second {
-			delete(d.purged, id)
-		}
-	}
-	for id, at := range d.purgedAll {
-		if now-at > d.set.purgeSettles+time.Second {
-			delete(d.purgedAll, id)
-		}
-	}
+	settled := now - d.set.purgeSettles - time.Second
+	maps.DeleteFunc(d.purged, func(_ uint64, at time.Duration) bool { return at < settled })
+	maps.DeleteFunc(d.purgedAll, func(_ uint32, at time.Duration) bool { return at < settled })
 	d.took, d.fillTook = d.takes(now, d.caches, d.took), d.takes(now, d.parents, d.fillTook)
 }
 
@@ -789,7 +786,7 @@
 			d.origin = n
 		}
 	}
-	byID := func(a, b *node) int { return int(int64(a.id) - int64(b.id)) }
+	byID := func(a, b *node) int { return cmp.Compare(a.id, b.id) }
 	slices.SortFunc(d.caches, byID)
 	slices.SortFunc(d.parents, byID)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -12,7 +12,7 @@
 		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
 	d.identity = s.Seed ^ uint64(s.Me)<<48
 	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
-		siblings: s.Siblings, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
+		siblings: s.Siblings, direct: s.Direct, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
 		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
 		purgeSettles: s.PurgeSettles}
 	if s.Zone < len(s.Hub) {
--- a/control/types.go
+++ b/control/types.go
@@ -299,13 +299,13 @@
 
 // settings are the figures derived from those handed over.
 type settings struct {
-	zone, hub, hubs               int
-	parentKind, originKind        int
-	siblings, mayCancel, comeBack bool
-	maxComeBack                   time.Duration
-	maxDispatches                 int
-	kbPerMilli                    float64
-	cache, parent                 Cold
-	purgeSettles                  time.Duration
-	hubOf                         []int
+	zone, hub, hubs                       int
+	parentKind, originKind                int
+	siblings, mayCancel, comeBack, direct bool
+	maxComeBack                           time.Duration
+	maxDispatches                         int
+	kbPerMilli                            float64
+	cache, parent                         Cold
+	purgeSettles                          time.Duration
+	hubOf                                 []int
 }
