An overdue fill is replaced by one; a parent's room counts likely fills only

Cause: when a fill was overdue all reqs behind it started fills of their own; a parent's room was used up by hits that never reach it.

--- a/control/control.go
+++ b/control/control.go
@@ -331,7 +331,9 @@
 		x.node.sent.Add(now, r.v.send.Seconds())
 	}
 	if x.source.role != cache {
-		x.source.out++
+		if !x.expectHit {
+			x.source.out++
+		}
 		if !d.warm(now, x.source) {
 			x.source.sent.Add(now, r.v.send.Seconds())
 		}
@@ -408,7 +410,7 @@
 	r.open--
 	d.outs = slices.DeleteFunc(d.outs, func(y *dispatch) bool { return y == x })
 	x.node.out--
-	if x.source.role != cache {
+	if x.source.role != cache && !x.expectHit {
 		x.source.out--
 	}
 	switch o.Ending {
@@ -653,6 +655,7 @@
 		d.setAside(now, x.node)
 	}
 	if x.r.part.filling == x {
+		x.r.part.filling = nil
 		for _, q := range slices.Clone(x.r.part.behind) {
 			d.route(now, q)
 		}
