--- a/control/control.go
+++ b/control/control.go
@@ -84,7 +84,7 @@
 		return
 	}
 	hit := d.holds(now, r, c)
-	if !hit && d.waits(now, r) {
+	if !hit && !passBy && d.waits(now, r) {
 		return
 	}
 	if !hit && float64(d.fills) >= d.linkRoom*d.slack(r) {
@@ -288,7 +288,7 @@
 // rank keeps what was asked for once and extra copies lowest: neither may push out a home's copies.
 func (d *Director) rank(now time.Duration, r *req, c *node, order []*node) uint8 {
 	switch {
-	case r.v.Write:
+	case r.v.Write || c.role != cache:
 		return 0
 	case r.obj.seen < 2 || c != order[0] && d.heldElsewhere(now, r, c):
 		return 1
@@ -341,7 +341,7 @@
 	if r.mayRun == nil {
 		r.mayRun = x
 	}
-	if !x.expectHit && r.part.filling == nil {
+	if !x.expectHit && x.node.role == cache && r.part.filling == nil {
 		r.part.filling = x
 	}
 	d.front.Dispatch(r.id, o)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -153,6 +153,22 @@
 	w.sound(t)
 }
 
+// All caches of the location may be gone at once, as in a release: no answer may depend on there being one.
+func TestNoCacheIsLeft(t *testing.T) {
+	for seed := range int64(2) {
+		w := newWorld(seed, 2)
+		w.tell(false, Listed{Node: 10, State: Draining, Zone: 1}, Listed{Node: 11, State: Gone, Zone: 1})
+		for vhost := range w.set.Vhosts {
+			id := w.ask(vhost, 5, 0)
+			if a := w.asks[id]; !a.answered && (len(a.tries) == 0 || a.tries[0].node > 3) {
+				t.Errorf("vhost %d: neither answered at once nor sent past the caches", vhost)
+			}
+		}
+		w.run(10 * time.Second)
+		w.sound(t)
+	}
+}
+
 // A cache that takes reqs and answers none loses them to others well before any client timeout.
 func TestSilentCacheLosesItsReqs(t *testing.T) {
 	w := newWorld(1, 4)
