--- a/control/control.go
+++ b/control/control.go
@@ -87,12 +87,15 @@
 	if !hit && !passBy && d.waits(now, r) {
 		return
 	}
-	if !hit && float64(d.fills) >= d.linkRoom*d.slack(r) {
+	look := !hit && float64(d.fills) >= d.linkRoom*d.slack(r) // no room for a fill: only what is held
+	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
 		return
 	}
-	x := &dispatch{r: r, number: len(r.sent), node: c, at: now, expectHit: hit}
-	if x.source = d.origin; !passBy {
+	x := &dispatch{r: r, number: len(r.sent), node: c, source: c, at: now, expectHit: hit || look}
+	if passBy && !look {
+		x.source = d.origin
+	} else if !look {
 		x.source, x.sibling = d.source(now, r, c)
 	}
 	o := Order{Node: c.id, Source: x.source.id, HeldOnly: x.sibling, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
@@ -457,7 +460,8 @@
 
 // further sends a req again if rules, time and the budget for it allow, else gives it up at once.
 func (d *Director) further(now time.Duration, r *req, o Outcome) {
-	guess := o.Ending == Miss && r.sent[o.Dispatch].sibling
+	x := r.sent[o.Dispatch]
+	guess := o.Ending == Miss && (x.sibling || x.source == x.node)
 	r.sure = true
 	if !guess {
 		d.again--
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// With no room for fills a req still looks for what a warm cache holds, once, and is then denied.
+func TestFullLinkLooksBeforeDenying(t *testing.T) {
+	w := newWorld(1, 3)
+	w.manual = true
+	w.d.linkRoom = 0
+	id := w.ask(0, 7, 0)
+	a := w.asks[id]
+	if len(a.tries) != 1 || w.last.Source != w.last.Node {
+		t.Fatalf("%d dispatches, source %d at %d", len(a.tries), w.last.Source, w.last.Node)
+	}
+	w.end(id, Outcome{Ending: Miss})
+	if !a.answered || len(a.tries) != 1 {
+		t.Errorf("after the miss: answered %v, %d dispatches", a.answered, len(a.tries))
+	}
+	w.sound(t)
+}
+
 // A cache that takes reqs and answers none loses them to others well before any client timeout.
 func TestSilentCacheLosesItsReqs(t *testing.T) {
 	w := newWorld(1, 4)
--- a/control/state.go
+++ b/control/state.go
@@ -33,7 +33,7 @@
 
 func (r *req) tried(c *node) bool {
 	for _, x := range r.sent {
-		if x.node == c && !x.sibling {
+		if x.node == c && !x.sibling && x.source != c {
 			return true
 		}
 	}
