--- a/control/control.go
+++ b/control/control.go
@@ -87,7 +87,7 @@
 	if !hit && !passBy && d.waits(now, r) {
 		return
 	}
-	look := !hit && float64(d.fills) >= d.linkRoom*d.slack(r) // no room for a fill: only what is held
+	look := !hit && !r.v.Write && float64(d.fills) >= d.linkRoom*d.slack(r) // no room for a fill: only what is held
 	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
 		return
