Learn sending times from the least seen, so that crowding does not pass for size

Kept for the jam that it ends; harms where a vhost's sizes grow for good (a few such reqs more are denied).

--- a/control/control.go
+++ b/control/control.go
@@ -531,11 +531,14 @@
 	if r.kb > 0 && d.set.kbPerMilli > 0 {
 		v.send += time.Duration(float64(d.expected(r)-v.send) * settle)
 	} else if o.Fill == Hit || o.Fill == Untold {
-		v.send += time.Duration(float64(o.Took-v.send) * settle)
-		if r.obj.send == 0 {
+		v.send += time.Duration(float64(o.Took-v.send) * settle / 4)
+		if v.hits++; v.hits > 4/settle {
+			v.least = min(v.least, v.send) // crowding must not pass for size
+		}
+		if r.obj.send == 0 || o.Took < r.obj.send {
 			r.obj.send = o.Took
 		}
-		r.obj.send += (o.Took - r.obj.send) / 4
+		r.obj.send += time.Duration(float64(o.Took-r.obj.send) * settle)
 		if r.part.send == 0 || o.Took < r.part.send {
 			r.part.send = o.Took
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -22,7 +22,7 @@
 		d.set.hubs = max(d.set.hubs, h+1)
 	}
 	for _, v := range s.Vhosts {
-		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: 0.5, send: v.Aim / 4})
+		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: 0.5, send: v.Aim / 2, least: v.Aim / 2})
 	}
 	f.After(period, 0)
 	return d
@@ -139,7 +139,7 @@
 	if r.obj.send > 0 {
 		return r.obj.send
 	}
-	return r.v.send
+	return r.v.least
 }
 
 // sized tells whether the sending time of a req is known: its size is told, or the part was sent before.
--- a/control/types.go
+++ b/control/types.go
@@ -269,6 +269,8 @@
 	Vhost
 	mean, dev float64       // of time taken over time expected
 	send      time.Duration // smoothed sending time of its reqs
+	least     time.Duration // the least that it ever was
+	hits      float64
 }
 
 // Director decides for one instance.
