--- a/control/control.go
+++ b/control/control.go
@@ -37,7 +37,7 @@
 	roomLeast   = 2                      // so that there is always something to learn from
 	roomQuick   = 8                      // below it each timely answer makes room for one more
 	timely      = 0.85                   // of its aim: an answer that took longer is a sign of too much already
-	unsized     = 1.4                    // and longer by this where the size is not known: it may just be large
+	unsized     = 1.2                    // and longer by this where the size is not known: it may just be large
 	usualSlack  = 4                      // aims of so many sending times get the room as it is, tighter ones less
 	mostSlack   = 2                      // and looser ones at most this multiple
 	linkAtStart = 24                     // the same for fills through the location's link
