--- a/control/control.go
+++ b/control/control.go
@@ -41,7 +41,7 @@
 	usualSlack  = 4                      // aims of so many sending times get the room as it is, tighter ones less
 	mostSlack   = 2                      // and looser ones at most this multiple
 	linkAtStart = 24                     // the same for fills through the location's link
-	coldSafety  = 0.5                    // part of a cold machine's budget that is used: capacity is a guess
+	coldSafety  = 0.75                   // part of a cold machine's budget that is used: capacity is a guess
 	againEach   = 0.15                   // further dispatches earned by each req
 	againMost   = 25                     // and saved up: a cache's worth of reqs
 	answerEarly = 6 * time.Millisecond   // the last answer leaves this long before the client timeout
@@ -157,14 +157,12 @@
 	for _, c := range order {
 		mean += float64(c.out) / float64(len(order))
 	}
-	var second, last *node
+	var second *node
 	try := func(c *node) bool {
 		if c == nil || !d.budget(now, c, r) || !r.allowed(now, c) {
 			return false
 		}
-		if c.out < roomLeast && (last == nil || c.aside < last.aside) {
-			last = c
-		}
+
 		if c.aside > now || float64(c.out) >= c.room*d.slack(r) || r.tried(c) {
 			return false
 		}
@@ -189,9 +187,7 @@
 			return c
 		}
 	}
-	if second == nil && last != nil && last.aside > now && !d.set.direct {
-		return last
-	}
+
 	return second
 }
 
