--- a/control/control.go
+++ b/control/control.go
@@ -571,6 +571,9 @@
 	}
 }
 
+// silent tells whether enough has failed or is overdue since the last sign of life; on trial one is enough.
+func (n *node) silent() bool { return float64(n.late) >= min(silentAt, n.room) }
+
 // judge sets a machine aside whose share of failures lies well above the median of its peers.
 func (d *Director) judge(now time.Duration, n *node) {
 	peers := d.caches
@@ -583,7 +586,7 @@
 	}
 	slices.Sort(shares)
 	bad := n.bad.Sum(now)
-	if n.late >= silentAt || len(shares) > 0 && (bad >= badAt || n.room < badAt) &&
+	if n.silent() || len(shares) > 0 && bad >= badAt &&
 		bad/(bad+n.ok.Sum(now)) > shares[(len(shares)-1)/2]+badOver {
 		d.setAside(now, n)
 	}
@@ -595,7 +598,7 @@
 	if n.aside > now || n.role == origin {
 		return
 	}
-	if n.role == cache && n.late < silentAt {
+	if n.role == cache && !n.silent() {
 		left := 0
 		for _, c := range d.caches {
 			if c != n && c.aside <= now {
@@ -650,11 +653,11 @@
 	x.node.late++
 	if !x.expectHit && x.source.role != cache {
 		x.source.late++
-		if x.source.late >= silentAt || x.source.room < silentAt {
+		if x.source.silent() {
 			d.setAside(now, x.source)
 		}
 	}
-	if x.node.late >= silentAt || x.node.room < silentAt {
+	if x.node.silent() {
 		d.setAside(now, x.node)
 	}
 	if x.r.part.filling == x {
