A late answer of unknown size counts by the share of late ones

Guards also against single slow fills; harms by reacting later when a jam begins with few late answers.

--- a/control/chance.go
+++ b/control/chance.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 )
@@ -27,3 +28,8 @@
 
 // unit turns a hash into a number above 0 and below 1.
 func unit(h uint64) float64 { return (float64(h>>12) + 0.5) / (1 << 52) }
+
+// byHash ranks machines for an object, alike at every director.
+func byHash(obj uint64) func(a, b *node) int {
+	return func(a, b *node) int { return cmp.Compare(hash(obj, uint64(b.id)), hash(obj, uint64(a.id))) }
+}
--- a/control/control.go
+++ b/control/control.go
@@ -37,6 +37,7 @@
 	roomLeast   = 2                      // so that there is always something to learn from
 	roomQuick   = 8                      // below it each timely answer makes room for one more
 	timely      = 0.85                   // of its aim: an answer that took longer is a sign of too much already
+	crowdSign   = 8                      // a single late answer of unknown size counts this multiple of the share of late ones
 	unsized     = 1.2                    // and longer by this where the size is not known: it may just be large
 	usualSlack  = 4                      // aims of so many sending times get the room as it is, tighter ones less
 	mostSlack   = 2                      // and looser ones at most this multiple
@@ -113,10 +114,6 @@
 	return o.order
 }
 
-func byHash(obj uint64) func(a, b *node) int {
-	return func(a, b *node) int { return cmp.Compare(hash(obj, uint64(b.id)), hash(obj, uint64(a.id))) }
-}
-
 // follow draws by the shares, weighted rendezvous style. A part of an object in parts draws the same
 // cache while shares stay, so that parts spread without a second fill; others draw by chance.
 func (d *Director) follow(now time.Duration, r *req, order []*node) *node {
@@ -295,11 +292,6 @@
 	return 2
 }
 
-// heldElsewhere tells whether a copy at c would be an extra one.
-func (d *Director) heldElsewhere(now time.Duration, r *req, c *node) bool {
-	return slices.ContainsFunc(r.part.held, func(h copyAt) bool { return h.n != c && d.holds(now, r, h.n) })
-}
-
 // budget guards a cold machine from being pushed over by all directors together: each uses its own part,
 // which is what a warm peer takes of it. One dispatch a window is always allowed.
 func (d *Director) budget(now time.Duration, n *node, r *req) bool {
@@ -427,15 +419,25 @@
 		limit *= unsized
 	}
 	good := o.Ending == Done && float64(o.Took) <= limit
+	blame := 1.0
+	if o.Ending == Done && !d.sized(r) {
+		blame = min(1, crowdSign*d.lateShare)
+	}
+	if late := 0.0; o.Ending == Done {
+		if !good {
+			late = 1
+		}
+		d.lateShare += (late - d.lateShare) * settle
+	}
 	switch {
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
 	case x.expectHit || o.Fill == Hit:
-		adapt(&x.node.room, x.node.out, good)
+		adapt(&x.node.room, x.node.out, good, blame)
 	case !x.sibling:
-		adapt(&d.linkRoom, d.fills, good)
+		adapt(&d.linkRoom, d.fills, good, blame)
 		if good {
-			adapt(&x.node.room, x.node.out, good)
-			adapt(&x.source.room, x.source.out, good)
+			adapt(&x.node.room, x.node.out, good, blame)
+			adapt(&x.source.room, x.source.out, good, blame)
 		}
 	}
 	if r.part.filling == x {
@@ -560,10 +562,10 @@
 
 // adapt makes room for one more where answers come in time, quickly from little, and takes one away for
 // each that is late or turned away. Guards against overload, slow machines and a full link alike.
-func adapt(room *float64, out int, good bool) {
+func adapt(room *float64, out int, good bool, blame float64) {
 	switch {
 	case !good:
-		*room = max(roomLeast, *room-1)
+		*room = max(roomLeast, *room-blame)
 	case *room < roomQuick:
 		*room++
 	case float64(out) > *room/2:
@@ -726,14 +728,6 @@
 	}
 }
 
-func (o *object) give(j *node, by float64) {
-	if at := slices.IndexFunc(o.away, func(s share) bool { return s.n == j }); at >= 0 {
-		o.away[at].part += by
-	} else {
-		o.away = append(o.away, share{j, by})
-	}
-}
-
 // tidy ages the table and the purges, and renews what a warm machine takes of us.
 func (d *Director) tidy(now time.Duration) {
 	d.table = slices.DeleteFunc(d.table, func(o *object) bool {
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -144,3 +145,17 @@
 
 // sized tells whether the sending time of a req is known: its size is told, or the part was sent before.
 func (d *Director) sized(r *req) bool { return r.kb > 0 || r.part.send > 0 }
+
+// give adds to the share of one cache.
+func (o *object) give(j *node, by float64) {
+	if at := slices.IndexFunc(o.away, func(s share) bool { return s.n == j }); at >= 0 {
+		o.away[at].part += by
+	} else {
+		o.away = append(o.away, share{j, by})
+	}
+}
+
+// heldElsewhere tells whether a copy at c would be an extra one.
+func (d *Director) heldElsewhere(now time.Duration, r *req, c *node) bool {
+	return slices.ContainsFunc(r.part.held, func(h copyAt) bool { return h.n != c && d.holds(now, r, h.n) })
+}
--- a/control/types.go
+++ b/control/types.go
@@ -292,6 +292,7 @@
 	purgedAll         map[uint32]time.Duration // by group
 	fills             int                      // dispatches out that probably need the link in
 	linkRoom          float64                  // most of them
+	lateShare         float64                  // of what was answered lately, smoothed
 	again             float64                  // further dispatches saved up
 	asks              Ring
 	took              float64 // sending time that a warm cache takes of us each second
