A machine that answered within 0.4 s is not silent, unless it refuses or resets connections

Guards against cascades of any cause; harms by 0.4 s of delay where a machine stops right after an answer.

--- a/control/control.go
+++ b/control/control.go
@@ -501,7 +501,7 @@
 	case o.Ending == Miss || o.Ending == Full:
 		d.alive(now, c)
 	case o.Ending == NoConnect || o.Ending == Reset:
-		c.wiped = now
+		c.wiped, c.lived = now, now-leastWait // dead, however lately it answered
 		fallthrough
 	case o.Ending == Failed, o.Ending == TimedOut && !(x.late && s.late >= silentAt):
 		c.bad.Add(now, 1)
@@ -545,7 +545,7 @@
 
 // alive notes a sign of life: a machine on trial carries one more.
 func (d *Director) alive(now time.Duration, n *node) {
-	n.late = 0
+	n.late, n.lived = 0, now
 	n.ok.Add(now, 1)
 }
 
@@ -573,8 +573,11 @@
 	}
 }
 
-// silent tells whether enough has failed or is overdue since the last sign of life; on trial one is enough.
-func (n *node) silent() bool { return float64(n.late) >= min(silentAt, n.room) }
+// silent tells whether enough has failed or is overdue since the last sign of life, and that was not just
+// now: a burst may come due together at a machine that is only busy. On trial one is enough.
+func (n *node) silent(now time.Duration) bool {
+	return float64(n.late) >= min(silentAt, n.room) && now-n.lived >= leastWait
+}
 
 // judge sets a machine aside whose share of failures lies well above the median of its peers.
 func (d *Director) judge(now time.Duration, n *node) {
@@ -588,7 +591,7 @@
 	}
 	slices.Sort(shares)
 	bad := n.bad.Sum(now)
-	if n.silent() || len(shares) > 0 && bad >= badAt &&
+	if n.silent(now) || len(shares) > 0 && bad >= badAt &&
 		bad/(bad+n.ok.Sum(now)) > shares[(len(shares)-1)/2]+badOver {
 		d.setAside(now, n)
 	}
@@ -600,7 +603,7 @@
 	if n.aside > now || n.role == origin {
 		return
 	}
-	if n.role == cache && !n.silent() {
+	if n.role == cache && !n.silent(now) {
 		left := 0
 		for _, c := range d.caches {
 			if c != n && c.aside <= now {
@@ -655,11 +658,11 @@
 	x.node.late++
 	if !x.expectHit && x.source.role != cache {
 		x.source.late++
-		if x.source.silent() {
+		if x.source.silent(now) {
 			d.setAside(now, x.source)
 		}
 	}
-	if x.node.silent() {
+	if x.node.silent(now) {
 		d.setAside(now, x.node)
 	}
 	if x.r.part.filling == x {
--- a/control/types.go
+++ b/control/types.go
@@ -185,6 +185,7 @@
 	out            int           // dispatches of ours that it holds
 	room           float64       // most of them, by how timely its answers are
 	late           int           // overdue since its last sign of life
+	lived          time.Duration // when that was
 	aside          time.Duration // set aside until then
 	wait           time.Duration // source: smoothed fill latency
 	waitAt         time.Duration
