--- a/control/control.go
+++ b/control/control.go
@@ -565,7 +565,7 @@
 func adapt(room *float64, out int, good bool, blame float64) {
 	switch {
 	case !good:
-		*room = max(roomLeast, *room-blame)
+		*room = max(min(*room, roomLeast), *room-blame)
 	case *room < roomQuick:
 		*room++
 	case float64(out) > *room/2:
