--- a/control/control.go
+++ b/control/control.go
@@ -42,13 +42,15 @@
 	usualSlack  = 4                      // aims of so many sending times get the room as it is, tighter ones less
 	mostSlack   = 2                      // and looser ones at most this multiple
 	linkAtStart = 24                     // the same for fills through the location's link
-	coldSafety  = 0.75                   // part of a cold machine's budget that is used: capacity is a guess
-	againEach   = 0.15                   // further dispatches earned by each req
-	againMost   = 25                     // and saved up: a cache's worth of reqs
-	answerEarly = 6 * time.Millisecond   // the last answer leaves this long before the client timeout
-	clearly     = 1.5                    // the second parent of an object's pair must be quicker by this: the first may have the object
-	settle      = 1.0 / 16               // weight of one more sample in what is smoothed
-	restless    = 3 * time.Second        // half-life of a source's fill latency that is not renewed
+	takeFades   = 0.95                   // by period, while it answers: a peak counts for some seconds
+
+	coldSafety  = 0.75                 // part of a cold machine's budget that is used: capacity is a guess
+	againEach   = 0.15                 // further dispatches earned by each req
+	againMost   = 25                   // and saved up: a cache's worth of reqs
+	answerEarly = 6 * time.Millisecond // the last answer leaves this long before the client timeout
+	clearly     = 1.5                  // the second parent of an object's pair must be quicker by this: the first may have the object
+	settle      = 1.0 / 16             // weight of one more sample in what is smoothed
+	restless    = 3 * time.Second      // half-life of a source's fill latency that is not renewed
 )
 
 // Req takes a client's req; from here on it is owed one final answer.
@@ -293,19 +295,16 @@
 }
 
 // budget guards a cold machine from being pushed over by all directors together: each uses its own part,
-// which is what a warm peer takes of it. One dispatch a window is always allowed.
+// which is what its like took of it when warm. One dispatch a window is always allowed.
 func (d *Director) budget(now time.Duration, n *node, r *req) bool {
 	if n.role == origin || d.warm(now, n) {
 		return true
 	}
-	k, takes := d.cold(n), d.took
-	if n.role == parent {
-		takes = d.fillTook
-	}
+	k := d.cold(n)
 	young := max(0, now-n.boot-k.Window)
 	part := k.Floor + (1-k.Floor)*young.Seconds()/k.Ramp.Seconds()
 	sent := n.sent.Sum(now)
-	return sent == 0 || sent+r.v.send.Seconds() <= coldSafety*k.Multiple*part*takes*k.Window.Seconds()
+	return sent == 0 || sent+r.v.send.Seconds() <= coldSafety*k.Multiple*part*d.takes(n)*k.Window.Seconds()
 }
 
 // send is the one place through which every dispatch passes.
@@ -581,12 +580,8 @@
 
 // judge sets a machine aside whose share of failures lies well above the median of its peers.
 func (d *Director) judge(now time.Duration, n *node) {
-	peers := d.caches
-	if n.role != cache {
-		peers = d.parents
-	}
-	shares := make([]float64, 0, len(peers))
-	for _, p := range peers {
+	var shares []float64
+	for _, p := range d.peers(n) {
 		shares = append(shares, p.bad.Sum(now)/max(1, p.bad.Sum(now)+p.ok.Sum(now)))
 	}
 	slices.Sort(shares)
@@ -743,7 +738,11 @@
 	settled := now - d.set.purgeSettles - time.Second
 	maps.DeleteFunc(d.purged, func(_ uint64, at time.Duration) bool { return at < settled })
 	maps.DeleteFunc(d.purgedAll, func(_ uint32, at time.Duration) bool { return at < settled })
-	d.took, d.fillTook = d.takes(now, d.caches, d.took), d.takes(now, d.parents, d.fillTook)
+	for _, n := range slices.Concat(d.caches, d.parents) {
+		if d.warm(now, n) && now-n.lived < 2*period { // what it took stands while it is out
+			n.take = max(n.take*takeFades, n.work.Rate(now, 0))
+		}
+	}
 }
 
 // List takes discovery's news. What drains or is gone is left out from here on, as a source too.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -186,6 +186,22 @@
 	w.sound(t)
 }
 
+// What machines took of us stands through an outage: budgets of the cold go by it when they return.
+func TestColdBudgetStandsThroughAnOutage(t *testing.T) {
+	w := newWorld(1, 3)
+	c := w.d.nodes[10]
+	for range 40 {
+		w.run(w.now + 100*ms)
+		c.lived = w.now
+		c.work.Add(w.now, 0.2)
+	}
+	before := w.d.takes(c)
+	w.run(w.now + 20*time.Second)
+	if after := w.d.takes(c); before < 1 || after < 0.8*before {
+		t.Errorf("took %.2f a second before the outage, %.2f after", before, after)
+	}
+}
+
 // A cache that takes reqs and answers none loses them to others well before any client timeout.
 func TestSilentCacheLosesItsReqs(t *testing.T) {
 	w := newWorld(1, 4)
--- a/control/state.go
+++ b/control/state.go
@@ -91,19 +91,24 @@
 	return sum
 }
 
-// takes is the mean sending time a second that warm machines took of us; with none warm the last stands.
-func (d *Director) takes(now time.Duration, of []*node, last float64) float64 {
-	sum, n := 0.0, 0.0
-	for _, c := range of {
-		if d.warm(now, c) && c.aside <= now {
-			sum += c.work.Rate(now, 0)
-			n++
+// takes is what machines like n took of us a second when warm: their mean.
+func (d *Director) takes(n *node) float64 {
+	sum, count := 0.0, 0.0
+	for _, p := range d.peers(n) {
+		if p.take > 0 {
+			sum += p.take
+			count++
 		}
 	}
-	if n == 0 {
-		return last
+	return sum / max(1, count)
+}
+
+// peers are the machines that a machine is measured against.
+func (d *Director) peers(n *node) []*node {
+	if n.role == cache {
+		return d.caches
 	}
-	return sum / n
+	return d.parents
 }
 
 // object finds or makes the record of an object; a full table forgets its oldest.
--- a/control/types.go
+++ b/control/types.go
@@ -189,8 +189,9 @@
 	aside          time.Duration // set aside until then
 	wait           time.Duration // source: smoothed fill latency
 	waitAt         time.Duration
-	load           Ring // reqs served: L
-	work, sent     Ring // sending time served; sent while cold
+	take           float64 // the most sending time a second that it took of us lately, fading
+	load           Ring    // reqs served: L
+	work, sent     Ring    // sending time served; sent while cold
 	ok, bad        Ring
 	hops           int // hubs on the way to a parent
 	atHome, handed float64
@@ -296,8 +297,6 @@
 	lateShare         float64                  // of what was answered lately, smoothed
 	again             float64                  // further dispatches saved up
 	asks              Ring
-	took              float64 // sending time that a warm cache takes of us each second
-	fillTook          float64 // the same for a warm parent's fills
 	counter, identity uint64
 }
 
