--- a/control/control.go
+++ b/control/control.go
@@ -80,7 +80,7 @@
 	c := d.guard(now, r, pick, order)                                   // a stand-in where the pick is not fit
 	passBy := c == nil && d.set.direct && !r.v.Write && d.origin != nil // straight to a parent where no cache is fit
 	if passBy {
-		c, _ = d.source(now, r, nil)
+		c = d.source(now, r)
 	}
 	if c == nil {
 		d.giveUp(now, r)
@@ -98,10 +98,10 @@
 	x := &dispatch{r: r, number: len(r.sent), node: c, source: c, at: now, expectHit: hit || look}
 	if passBy && !look {
 		x.source = d.origin
-	} else if !look {
-		x.source, x.sibling = d.source(now, r, c)
+	} else if s := d.source(now, r); !look && s != nil {
+		x.source = s
 	}
-	o := Order{Node: c.id, Source: x.source.id, HeldOnly: x.sibling, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
+	o := Order{Node: c.id, Source: x.source.id, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
 	o.Renew = r.v.Fresh > 0 && r.obj.seen > 1
 	d.send(now, r, x, o)
 }
@@ -230,20 +230,12 @@
 	return true
 }
 
-// source is the better of two random parents by smoothed fill latency, else the origin. One exception:
-// a sibling that was seen to hold the part gives it without the link in and the parents.
-func (d *Director) source(now time.Duration, r *req, c *node) (*node, bool) {
+// source is the better of two random parents by smoothed fill latency, else the origin; with neither, nobody.
+func (d *Director) source(now time.Duration, r *req) *node {
 	if r.v.Write && d.origin != nil {
-		return d.origin, false // a parent holds no writes
-	}
-	if c != nil && d.set.siblings && !r.sure {
-		for _, h := range r.part.held {
-			if h.n != c && h.n.ready && h.n.aside <= now && float64(h.n.out) < h.n.room &&
-				d.holds(now, r, h.n) && d.warm(now, h.n) {
-				return h.n, true
-			}
-		}
+		return d.origin // a parent holds no writes
 	}
+
 	fit := make([]*node, 0, 8)
 	for _, p := range d.parents {
 		if p.aside <= now && float64(p.out) < p.room && d.budget(now, p, r) && !r.failedBy(p) {
@@ -251,16 +243,13 @@
 		}
 	}
 	if len(fit) == 0 {
-		if d.origin != nil {
-			return d.origin, false
-		}
-		return c, false
+		return d.origin
 	}
 	slices.SortFunc(fit, byHash(r.obj.id))
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
-		return fit[1], false
+		return fit[1]
 	}
-	return fit[0], false
+	return fit[0]
 }
 
 // waits is the smoothed fill latency; unrenewed it fades, so that a source once slow is tried again.
@@ -313,7 +302,7 @@
 	r.open++
 	x.node.out++
 	x.overdue = now + d.patience(r)
-	if !x.expectHit && !x.sibling {
+	if !x.expectHit {
 		d.fills++
 	}
 	d.outs = append(d.outs, x)
@@ -410,7 +399,7 @@
 		}
 	}
 	d.learn(now, x, o)
-	if !x.expectHit && !x.sibling {
+	if !x.expectHit {
 		d.fills--
 	}
 	limit := timely * float64(d.aim(r))
@@ -432,7 +421,7 @@
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
 	case x.expectHit || o.Fill == Hit:
 		adapt(&x.node.room, x.node.out, good, blame)
-	case !x.sibling:
+	default:
 		adapt(&d.linkRoom, d.fills, good, blame)
 		if good {
 			adapt(&x.node.room, x.node.out, good, blame)
@@ -458,9 +447,7 @@
 // further sends a req again if rules, time and the budget for it allow, else gives it up at once.
 func (d *Director) further(now time.Duration, r *req, o Outcome) {
 	x := r.sent[o.Dispatch]
-	guess := o.Ending == Miss && (x.sibling || x.source == x.node)
-	r.sure = true
-	if !guess {
+	if o.Ending != Miss || x.source != x.node { // a look is free
 		d.again--
 	}
 	if d.again < 0 || len(r.sent) >= d.set.maxDispatches || now+answerEarly >= r.deadline || o.Ending == Moot {
@@ -512,7 +499,7 @@
 	}
 	held := o.Ending == Done && !r.v.Write && c.role == cache
 	r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool {
-		return h.n == c && (held || o.Ending == Miss) || h.n == s && o.Ending == Miss
+		return h.n == c && (held || o.Ending == Miss)
 	})
 	if held {
 		r.part.held = append(r.part.held, copyAt{c, x.at})
--- a/control/state.go
+++ b/control/state.go
@@ -13,7 +13,7 @@
 		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
 	d.identity = s.Seed ^ uint64(s.Me)<<48
 	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
-		siblings: s.Siblings, direct: s.Direct, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
+		direct: s.Direct, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
 		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
 		purgeSettles: s.PurgeSettles}
 	if s.Zone < len(s.Hub) {
@@ -34,7 +34,7 @@
 
 func (r *req) tried(c *node) bool {
 	for _, x := range r.sent {
-		if x.node == c && !x.sibling && x.source != c {
+		if x.node == c && x.source != c {
 			return true
 		}
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -15,13 +15,12 @@
 
 // Order is one dispatch with what the cache is to do on a miss.
 type Order struct {
-	Node     uint32
-	Source   uint32        // who fills a miss; the node itself: nobody
-	Timeout  time.Duration // 0: until the client gives up
-	Age      time.Duration // the oldest copy that will do; 0: the vhost's fresh time
-	Rank     uint8         // 0: keep nothing, else 1 to 3
-	HeldOnly bool          // the source gives only what it holds
-	Renew    bool          // serve an ageing copy and fetch it anew behind
+	Node    uint32
+	Source  uint32        // who fills a miss; the node itself: nobody
+	Timeout time.Duration // 0: until the client gives up
+	Age     time.Duration // the oldest copy that will do; 0: the vhost's fresh time
+	Rank    uint8         // 0: keep nothing, else 1 to 3
+	Renew   bool          // serve an ageing copy and fetch it anew behind
 }
 
 // Effect tells what running a req twice would do.
@@ -77,7 +76,6 @@
 	Instances     int
 	ParentKind    int
 	OriginKind    int
-	Siblings      bool // a cache of the location may be a source
 	Direct        bool // a req may pass the caches by
 	SecondCopies  bool
 	MayCancel     bool
@@ -253,7 +251,6 @@
 	sent     []*dispatch
 	open     int
 	mayRun   *dispatch // the first that is not known never to have run
-	sure     bool      // no more guesses at siblings
 }
 
 type dispatch struct {
@@ -263,7 +260,6 @@
 	source      *node
 	at, overdue time.Duration
 	expectHit   bool
-	sibling     bool
 	late, over  bool
 }
 
@@ -302,13 +298,13 @@
 
 // settings are the figures derived from those handed over.
 type settings struct {
-	zone, hub, hubs                       int
-	parentKind, originKind                int
-	siblings, mayCancel, comeBack, direct bool
-	maxComeBack                           time.Duration
-	maxDispatches                         int
-	kbPerMilli                            float64
-	cache, parent                         Cold
-	purgeSettles                          time.Duration
-	hubOf                                 []int
+	zone, hub, hubs             int
+	parentKind, originKind      int
+	mayCancel, comeBack, direct bool
+	maxComeBack                 time.Duration
+	maxDispatches               int
+	kbPerMilli                  float64
+	cache, parent               Cold
+	purgeSettles                time.Duration
+	hubOf                       []int
 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -72,8 +72,5 @@
 	acInstance      uint8 = 13
 )
 
-// bits of fetch_through's opts
-const (
-	optHeldOnly uint8 = 2
-	optRenew    uint8 = 8
-)
+// optRenew is a bit of fetch_through's opts.
+const optRenew uint8 = 8
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -271,9 +271,6 @@
 	in.put32(wireMicros(o.Age))
 	in.put32(o.Source)
 	var opts uint8
-	if o.HeldOnly {
-		opts |= optHeldOnly
-	}
 	if o.Renew {
 		opts |= optRenew
 	}
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -66,7 +66,6 @@
 		Instances:     p.whole("instances"),
 		ParentKind:    -1,
 		OriginKind:    -1,
-		Siblings:      p.m["domain.siblings"] == "location" || p.m["domain.siblings"] == "any",
 		Direct:        p.truth("domain.mayPassBy"),
 		SecondCopies:  p.truth("limits.mayDuplicate"),
 		MayCancel:     p.truth("limits.cancel"),
