--- a/control/control.go
+++ b/control/control.go
@@ -18,6 +18,7 @@
 	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long enough to rise
 	loadBuckets = 4                      // over the noise of single reqs, short against a hot object's stay
 	hotShare    = 0.04                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
+	noiseTimes  = 2                      // of a gap only what lies over so many deviations of the counts shifts
 	leastShare  = 0.01                   // a share below it goes back
 	leastAway   = 0.25                   // a hot object's part outside its home, whatever the gap
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
@@ -675,7 +676,7 @@
 			}
 			gap := home.load.Rate(now, 0) - j.load.Rate(now, 0)
 			noise := math.Sqrt(home.load.Sum(now)+j.load.Sum(now)) / home.load.Span().Seconds()
-			gap = alpha * math.Copysign(max(0, math.Abs(gap)-noise), gap)
+			gap = alpha * math.Copysign(max(0, math.Abs(gap)-noiseTimes*noise), gap)
 			atHome, atJ := 0.0, 0.0
 			for _, o := range d.table {
 				if o.hot && len(o.order) > 1 && o.order[0] == home {
