--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
 	tableSize   = 8192                   // objects
 	crowdTimes  = 1.25                   // a cache is crowded at this multiple of its peers' mean dispatches out
+	holderPlus  = 2                      // and these where the cache has the part: elsewhere it must be filled
 	crowdPlus   = 1                      // and this many more: a few are chance
 	leastWait   = 400 * time.Millisecond // no dispatch is overdue before this: pauses are shorter
 	mostWait    = 2500 * time.Millisecond
@@ -166,7 +167,11 @@
 		if c.aside > now || float64(c.out) >= c.room*d.slack(r) || r.tried(c) {
 			return false
 		}
-		if float64(c.out) > crowdTimes*mean+crowdPlus {
+		bound := crowdTimes*mean + crowdPlus
+		if d.holds(now, r, c) {
+			bound += holderPlus
+		}
+		if float64(c.out) > bound {
 			if second == nil || c.out < second.out {
 				second = c
 			}
