With parents and origin silent, ask a parent for what it holds

Guards against an origin that is out, cut off or jammed; harms where parents hang themselves: their reqs wait until overdue instead of being denied at once.

--- a/control/control.go
+++ b/control/control.go
@@ -78,11 +78,14 @@
 // route is the ordinary path of a req, and of each further dispatch of it.
 func (d *Director) route(now time.Duration, r *req) {
 	order := d.order(r.obj)
-	pick := d.follow(now, r, order)                                     // home, or another by the shares of a hot object
-	c := d.guard(now, r, pick, order)                                   // a stand-in where the pick is not fit
-	passBy := c == nil && d.set.direct && !r.v.Write && d.origin != nil // straight to a parent where no cache is fit
-	if passBy {
-		c = d.source(now, r)
+	pick := d.follow(now, r, order)   // home, or another by the shares of a hot object
+	c := d.guard(now, r, pick, order) // a stand-in where the pick is not fit
+	src, held := d.source(now, r)
+	passBy := c == nil && d.set.direct && !r.v.Write && d.origin != nil
+	if passBy { // straight to a parent where no cache is fit
+		if c = src; !held {
+			src = d.origin
+		}
 	}
 	if c == nil {
 		d.giveUp(now, r)
@@ -92,18 +95,16 @@
 	if !hit && !passBy && d.waits(now, r) {
 		return
 	}
-	look := !hit && !r.v.Write && float64(d.fills) >= d.linkRoom*d.slack(r) // no room for a fill: only what is held
+	look := !hit && !r.v.Write && (held || float64(d.fills) >= d.linkRoom*d.slack(r)) // no fill, only what is held
 	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
 		return
 	}
-	x := &dispatch{r: r, number: len(r.sent), node: c, source: c, at: now, expectHit: hit || look}
-	if passBy && !look {
-		x.source = d.origin
-	} else if s := d.source(now, r); !look && s != nil {
-		x.source = s
+	if src == nil || look && !held {
+		src = c
 	}
-	o := Order{Node: c.id, Source: x.source.id, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
+	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look}
+	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
 	o.Renew = r.v.Fresh > 0 && r.obj.seen > 1
 	d.send(now, r, x, o)
 }
@@ -236,26 +237,34 @@
 	return true
 }
 
-// source is the better of two random parents by smoothed fill latency, else the origin; with neither, nobody.
-func (d *Director) source(now time.Duration, r *req) *node {
+// source is the better of two random parents by smoothed fill latency, else the origin. Where that is silent
+// too, but for one dispatch that tries it, a parent is asked for what it holds: set aside or not, it may have
+// failed only for what lies behind it. Guards against an origin that is out, or cut off.
+func (d *Director) source(now time.Duration, r *req) (n *node, held bool) {
 	if r.v.Write && d.origin != nil {
-		return d.origin // a parent holds no writes
+		return d.origin, false // a parent holds no writes
 	}
-
-	fit := make([]*node, 0, 8)
+	var fit, ready []*node
 	for _, p := range d.parents {
-		if p.aside <= now && float64(p.out) < p.room && d.budget(now, p, r) && !r.failedBy(p) {
+		if !d.budget(now, p, r) || r.failedBy(p) {
+			continue
+		}
+		ready = append(ready, p)
+		if p.aside <= now && float64(p.out) < p.room {
 			fit = append(fit, p)
 		}
 	}
-	if len(fit) == 0 {
-		return d.origin
+	if held = len(fit) == 0; held {
+		if len(ready) == 0 || d.origin != nil && (d.origin.out == 0 || !d.origin.silent(now)) {
+			return d.origin, false
+		}
+		fit = ready
 	}
 	slices.SortFunc(fit, byHash(r.obj.id))
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
-		return fit[1]
+		return fit[1], held
 	}
-	return fit[0]
+	return fit[0], held
 }
 
 // waits is the smoothed fill latency; unrenewed it fades, so that a source once slow is tried again.
--- a/control/types.go
+++ b/control/types.go
@@ -15,12 +15,13 @@
 
 // Order is one dispatch with what the cache is to do on a miss.
 type Order struct {
-	Node    uint32
-	Source  uint32        // who fills a miss; the node itself: nobody
-	Timeout time.Duration // 0: until the client gives up
-	Age     time.Duration // the oldest copy that will do; 0: the vhost's fresh time
-	Rank    uint8         // 0: keep nothing, else 1 to 3
-	Renew   bool          // serve an ageing copy and fetch it anew behind
+	Node     uint32
+	Source   uint32        // who fills a miss; the node itself: nobody
+	Timeout  time.Duration // 0: until the client gives up
+	Age      time.Duration // the oldest copy that will do; 0: the vhost's fresh time
+	Rank     uint8         // 0: keep nothing, else 1 to 3
+	HeldOnly bool          // the source gives only what it holds
+	Renew    bool          // serve an ageing copy and fetch it anew behind
 }
 
 // Effect tells what running a req twice would do.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -72,5 +72,8 @@
 	acInstance      uint8 = 13
 )
 
-// optRenew is a bit of fetch_through's opts.
-const optRenew uint8 = 8
+// bits of fetch_through's opts
+const (
+	optHeldOnly uint8 = 2
+	optRenew    uint8 = 8
+)
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -271,6 +271,9 @@
 	in.put32(wireMicros(o.Age))
 	in.put32(o.Source)
 	var opts uint8
+	if o.HeldOnly {
+		opts |= optHeldOnly
+	}
 	if o.Renew {
 		opts |= optRenew
 	}
