A late fill at a pressed cache narrows the cache's room, not the link's

Kept: it guards against any slow cache starving its neighbours of fills; harms where a thin link alone fills a cache with waiting reqs. Bookkeeping without decisions moved to state.go.

--- a/control/control.go
+++ b/control/control.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -436,6 +435,8 @@
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
 	case x.expectHit || o.Fill == Hit:
 		adapt(&x.node.room, x.node.out, good, blame)
+	case x.node.role == cache && float64(x.node.out) > x.node.room/2:
+		adapt(&x.node.room, x.node.out, good, blame) // a pressed cache is late whatever the link does
 	default:
 		adapt(&d.linkRoom, d.fills, good, blame)
 		if good {
@@ -672,7 +673,8 @@
 
 // diffuse shifts hot load between each home and the location's other caches by the gaps of L.
 func (d *Director) diffuse(now time.Duration) {
-	d.tidy(now)
+	d.forget(now)
+	d.measure(now)
 	total := d.asks.Sum(now)
 	alpha := 1 / float64(2+len(d.caches)-1)
 	for _, o := range d.table {
@@ -728,20 +730,10 @@
 	}
 }
 
-// tidy ages the table and the purges, and renews what a warm machine takes of us.
-func (d *Director) tidy(now time.Duration) {
-	d.table = slices.DeleteFunc(d.table, func(o *object) bool {
-		gone := now-o.last > forgetAfter
-		if gone {
-			delete(d.objects, o.id)
-		}
-		return gone
-	})
-	settled := now - d.set.purgeSettles - time.Second
-	maps.DeleteFunc(d.purged, func(_ uint64, at time.Duration) bool { return at < settled })
-	maps.DeleteFunc(d.purgedAll, func(_ uint32, at time.Duration) bool { return at < settled })
+// measure renews what warm machines take of us; it stands while one gives no sign of life.
+func (d *Director) measure(now time.Duration) {
 	for _, n := range slices.Concat(d.caches, d.parents) {
-		if d.warm(now, n) && now-n.lived < 2*period { // what it took stands while it is out
+		if d.warm(now, n) && now-n.lived < 2*period {
 			n.take = max(n.take*takeFades, n.work.Rate(now, 0))
 		}
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -164,3 +165,17 @@
 func (d *Director) heldElsewhere(now time.Duration, r *req, c *node) bool {
 	return slices.ContainsFunc(r.part.held, func(h copyAt) bool { return h.n != c && d.holds(now, r, h.n) })
 }
+
+// forget drops objects not asked for lately and purges that have settled.
+func (d *Director) forget(now time.Duration) {
+	d.table = slices.DeleteFunc(d.table, func(o *object) bool {
+		gone := now-o.last > forgetAfter
+		if gone {
+			delete(d.objects, o.id)
+		}
+		return gone
+	})
+	settled := now - d.set.purgeSettles - time.Second
+	maps.DeleteFunc(d.purged, func(_ uint64, at time.Duration) bool { return at < settled })
+	maps.DeleteFunc(d.purgedAll, func(_ uint32, at time.Duration) bool { return at < settled })
+}
