A reset is a failure but no silence; failures of one instant count once

Guards also against any flaw that strikes all machines a little; harms where a machine resets for good, by the seconds that the share of failures needs. The test fails on the former code.

--- a/control/control.go
+++ b/control/control.go
@@ -502,12 +502,15 @@
 		}
 	case o.Ending == Miss || o.Ending == Full:
 		d.alive(now, c)
-	case o.Ending == NoConnect || o.Ending == Reset:
+	case o.Ending == NoConnect:
 		c.wiped, c.lived = now, now-leastWait // dead, however lately it answered
-		fallthrough
-	case o.Ending == Failed, o.Ending == TimedOut && !(x.late && s.late >= silentAt):
-		c.bad.Add(now, 1)
 		c.late++
+		fallthrough
+	case o.Ending == Reset, o.Ending == Failed, o.Ending == TimedOut && !(x.late && s.late >= silentAt):
+		if now > c.failed { // one broken connection takes many dispatches with it: that is one failure
+			c.bad.Add(now, 1)
+			c.failed = now
+		}
 		d.judge(now, c)
 	}
 	if o.Fill == Hit && s.role != cache && !d.warm(now, s) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -202,6 +202,31 @@
 	}
 }
 
+// Connections that break now and then at all caches, each taking several dispatches along, set none aside.
+func TestBrokenConnectionsEverywhereSetNoCacheAside(t *testing.T) {
+	w := newWorld(1, 4)
+	w.manual = true
+	for round := range 60 {
+		id := w.ask(1, uint64(100+round), 0)
+		more := w.ask(1, uint64(300+round), 0)
+		w.run(w.now + 50*ms)
+		for _, id := range []uint32{id, more} {
+			ending := Done
+			if round%3 == 0 {
+				ending = Reset
+			}
+			w.end(id, Outcome{Ending: ending, Fill: Hit})
+			w.end(id, Outcome{Dispatch: len(w.asks[id].tries) - 1, Fill: Hit})
+		}
+		for _, c := range w.d.caches {
+			if c.aside > w.now {
+				t.Fatalf("cache %d is set aside in round %d", c.id, round)
+			}
+		}
+	}
+	w.sound(t)
+}
+
 // A cache that takes reqs and answers none loses them to others well before any client timeout.
 func TestSilentCacheLosesItsReqs(t *testing.T) {
 	w := newWorld(1, 4)
--- a/control/types.go
+++ b/control/types.go
@@ -185,6 +185,7 @@
 	room           float64       // most of them, by how timely its answers are
 	late           int           // overdue since its last sign of life
 	lived          time.Duration // when that was
+	failed         time.Duration // its last failure: those of one instant count once
 	aside          time.Duration // set aside until then
 	wait           time.Duration // source: smoothed fill latency
 	waitAt         time.Duration
