--- a/control/control.go
+++ b/control/control.go
@@ -533,7 +533,7 @@
 	v.mean += (ratio - v.mean) * settle
 	if r.kb > 0 && d.set.kbPerMilli > 0 {
 		v.send += time.Duration(float64(d.expected(r)-v.send) * settle)
-	} else if o.Fill == Hit || o.Fill == Untold {
+	} else if o.Fill == Hit || o.Fill == Untold || v.Write {
 		v.send += time.Duration(float64(o.Took-v.send) * settle / 4)
 		if v.hits++; v.hits > 4/settle {
 			v.least = min(v.least, v.send) // crowding must not pass for size
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -227,6 +227,21 @@
 	w.sound(t)
 }
 
+// Small writes are never hits, yet their sending time must be learnt, or they are denied first under pressure.
+func TestWritesLearnTheirSendingTime(t *testing.T) {
+	w := newWorld(1, 3)
+	w.manual = true
+	for range 300 {
+		id := w.ask(2, 9, 0)
+		w.run(w.now + 40*ms)
+		w.end(id, Outcome{Fill: FilledByOrigin})
+	}
+	if got := w.d.vhosts[2].least; got > 80*ms {
+		t.Errorf("writes of 40 ms are taken for %v", got)
+	}
+	w.sound(t)
+}
+
 // A cache that takes reqs and answers none loses them to others well before any client timeout.
 func TestSilentCacheLosesItsReqs(t *testing.T) {
 	w := newWorld(1, 4)
