--- a/control/control.go
+++ b/control/control.go
@@ -534,8 +534,9 @@
 	if r.kb > 0 && d.set.kbPerMilli > 0 {
 		v.send += time.Duration(float64(d.expected(r)-v.send) * settle)
 	} else if o.Fill == Hit || o.Fill == Untold || v.Write {
-		v.send += time.Duration(float64(o.Took-v.send) * settle / 4)
-		if v.hits++; v.hits > 4/settle {
+		v.hits++
+		v.send += time.Duration(float64(o.Took-v.send) * max(settle/4, 1/v.hits))
+		if v.hits > 1/settle || v.Write { // a mean of many, but for writes, which are rare and alike
 			v.least = min(v.least, v.send) // crowding must not pass for size
 		}
 		if r.obj.send == 0 || o.Took < r.obj.send {
