Parents nearest by hubs come first in an object's pair

Cause: bytes count again for each further hub, and the hash sent half of all fills over one. Harms where the near parent is slower by less than the margin. Settings that nothing reads are gone.

--- a/control/control.go
+++ b/control/control.go
@@ -236,7 +236,7 @@
 	return true
 }
 
-// source is the better of two random parents by smoothed fill latency, else the origin. Where that is silent
+// source is the better of two random parents by smoothed fill latency, nearer hubs first, else the origin. Where that is silent
 // too, but for one dispatch that tries it, a parent is asked for what it holds: set aside or not, it may have
 // failed only for what lies behind it. Guards against an origin that is out, or cut off.
 func (d *Director) source(now time.Duration, r *req) (n *node, held bool) {
@@ -260,6 +260,7 @@
 		fit = ready
 	}
 	slices.SortFunc(fit, byHash(r.obj.id))
+	slices.SortStableFunc(fit, func(a, b *node) int { return a.hops - b.hops }) // bytes count again for each hub
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
 		return fit[1], held
 	}
@@ -762,6 +763,7 @@
 		case l.Kind == d.set.originKind:
 			n.role = origin
 		case l.Kind == d.set.parentKind:
+			n.hops = d.hops(l.Zone)
 			if n.role = parent; n.room == roomAtStart {
 				n.room = linkAtStart
 			}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -142,6 +142,21 @@
 	w.sound(t)
 }
 
+// Bytes cross the links once more for each hub, so a parent of the own hub comes first unless it is clearly slower.
+func TestNearParentComesFirst(t *testing.T) {
+	w := &world{rng: rand.New(rand.NewSource(1)), set: settings0(), asks: map[uint32]*asked{}, list: map[uint32]Listed{}, manual: true}
+	w.set.Hub = []int{0, 0, 1, 2} // zone 1 hangs on hub 0, as zone 0 does
+	w.d = Start(w.set, w)
+	w.tell(true, Listed{Node: 1, State: Ready, Kind: 2}, Listed{Node: 2, State: Ready, Kind: 1, Zone: 0},
+		Listed{Node: 3, State: Ready, Kind: 1, Zone: 2}, Listed{Node: 10, State: Ready, Zone: 1})
+	for obj := range uint64(20) {
+		if w.ask(0, 500+obj, 0); w.last.Node != 0 && w.last.Source == 3 {
+			t.Fatalf("object %d is filled over another hub", obj)
+		}
+	}
+	w.sound(t)
+}
+
 func TestPurgeJustHeardLimitsTheAge(t *testing.T) {
 	w := newWorld(1, 3)
 	w.manual = true
--- a/control/state.go
+++ b/control/state.go
@@ -179,3 +179,12 @@
 	maps.DeleteFunc(d.purged, func(_ uint64, at time.Duration) bool { return at < settled })
 	maps.DeleteFunc(d.purgedAll, func(_ uint32, at time.Duration) bool { return at < settled })
 }
+
+// hops counts the hubs on the way to a zone's parents; the hubs stand in a ring.
+func (d *Director) hops(zone int) int {
+	if zone >= len(d.set.hubOf) {
+		return d.set.hubs
+	}
+	way := (d.set.hubOf[zone] - d.set.hub + d.set.hubs) % max(1, d.set.hubs)
+	return min(way, d.set.hubs-way)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -43,19 +43,16 @@
 )
 
 type Vhost struct {
-	Aim      time.Duration
-	Stretch  float64 // the aim grows by this multiple of the req's own sending time
-	Timeout  time.Duration
-	Value    float64
-	Late     float64 // share of the value earned past the aim
-	Effect   Effect
-	Group    Group
-	Window   time.Duration
-	Fresh    time.Duration // 0: a copy is good until purged
-	Grace    time.Duration
-	InParts  bool
-	Write    bool // runs at the origin and is never kept
-	OldValue float64
+	Aim     time.Duration
+	Stretch float64 // the aim grows by this multiple of the req's own sending time
+	Timeout time.Duration
+	Effect  Effect
+	Group   Group
+	Window  time.Duration
+	Fresh   time.Duration // 0: a copy is good until purged
+	Grace   time.Duration
+	InParts bool
+	Write   bool // runs at the origin and is never kept
 }
 
 // Cold tells what a machine that started lately stands.
@@ -73,12 +70,9 @@
 	Zone          int
 	Vhosts        []Vhost
 	Hub           []int // by zone: place of its hub in the ring of hubs
-	Directors     []int // by zone
-	Instances     int
 	ParentKind    int
 	OriginKind    int
 	Direct        bool // a req may pass the caches by
-	SecondCopies  bool
 	MayCancel     bool
 	ComeBack      bool // a denial may name a time to come back
 	MaxComeBack   time.Duration
@@ -86,7 +80,6 @@
 	FlowKB        float64 // KB a second of one answer
 	Cache, Parent Cold
 	PurgeSettles  time.Duration
-	AnswerSlack   time.Duration
 }
 
 // State of a machine as listed.
@@ -174,27 +167,26 @@
 )
 
 type node struct {
-	id             uint32
-	role           role
-	zone, cell     int
-	ready          bool
-	booted         bool
-	boot           time.Duration
-	wiped          time.Duration // copies seen before this are gone
-	out            int           // dispatches of ours that it holds
-	room           float64       // most of them, by how timely its answers are
-	late           int           // overdue since its last sign of life
-	lived          time.Duration // when that was
-	failed         time.Duration // its last failure: those of one instant count once
-	aside          time.Duration // set aside until then
-	wait           time.Duration // source: smoothed fill latency
-	waitAt         time.Duration
-	take           float64 // the most sending time a second that it took of us lately, fading
-	load           Ring    // reqs served: L
-	work, sent     Ring    // sending time served; sent while cold
-	ok, bad        Ring
-	hops           int // hubs on the way to a parent
-	atHome, handed float64
+	id         uint32
+	role       role
+	zone, cell int
+	ready      bool
+	booted     bool
+	boot       time.Duration
+	wiped      time.Duration // copies seen before this are gone
+	out        int           // dispatches of ours that it holds
+	room       float64       // most of them, by how timely its answers are
+	late       int           // overdue since its last sign of life
+	lived      time.Duration // when that was
+	failed     time.Duration // its last failure: those of one instant count once
+	aside      time.Duration // set aside until then
+	wait       time.Duration // source: smoothed fill latency
+	waitAt     time.Duration
+	take       float64 // the most sending time a second that it took of us lately, fading
+	load       Ring    // reqs served: L
+	work, sent Ring    // sending time served; sent while cold
+	ok, bad    Ring
+	hops       int // hubs on the way to a parent
 }
 
 type share struct {
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -62,15 +62,15 @@
 }
 
 func settings0() Settings {
-	return Settings{Seed: 7, Zone: 1, Hub: []int{0, 0}, Directors: []int{0, 1}, Instances: 1, ParentKind: 1, OriginKind: 2,
+	return Settings{Seed: 7, Zone: 1, Hub: []int{0, 0}, ParentKind: 1, OriginKind: 2,
 		MayCancel: true, ComeBack: true, MaxComeBack: time.Second, MaxDispatches: 5,
 		Cache:  Cold{Floor: 0.2, Ramp: 15 * time.Second, Multiple: 3, Window: time.Second},
 		Parent: Cold{Floor: 0.1, Ramp: 15 * time.Second, Multiple: 2, Window: time.Second}, PurgeSettles: 6 * time.Second,
 		Vhosts: []Vhost{
-			{Aim: 400 * ms, Stretch: 2, Timeout: 4 * time.Second, Value: 2, InParts: true},
-			{Aim: 250 * ms, Stretch: 2, Timeout: 2 * time.Second, Value: 1, Fresh: 8 * time.Second, Grace: 4 * time.Second},
-			{Aim: 600 * ms, Timeout: 3 * time.Second, Value: 3, Effect: Uniqued, Group: GroupCell, Window: 150 * ms, Write: true},
-			{Aim: 600 * ms, Timeout: 3 * time.Second, Value: 3, Effect: NonReplayable, Write: true},
+			{Aim: 400 * ms, Stretch: 2, Timeout: 4 * time.Second, InParts: true},
+			{Aim: 250 * ms, Stretch: 2, Timeout: 2 * time.Second, Fresh: 8 * time.Second, Grace: 4 * time.Second},
+			{Aim: 600 * ms, Timeout: 3 * time.Second, Effect: Uniqued, Group: GroupCell, Window: 150 * ms, Write: true},
+			{Aim: 600 * ms, Timeout: 3 * time.Second, Effect: NonReplayable, Write: true},
 		}}
 }
 
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -62,12 +62,9 @@
 		Me:            p.whole("me"),
 		Zone:          p.whole("zone"),
 		Hub:           p.wholes("domain.hubOf"),
-		Directors:     p.wholes("domain.zoneBalancers"),
-		Instances:     p.whole("instances"),
 		ParentKind:    -1,
 		OriginKind:    -1,
 		Direct:        p.truth("domain.mayPassBy"),
-		SecondCopies:  p.truth("limits.mayDuplicate"),
 		MayCancel:     p.truth("limits.cancel"),
 		ComeBack:      p.truth("limits.retryAfter"),
 		MaxComeBack:   p.micros("limits.maxRetryAfter"),
@@ -78,7 +75,6 @@
 		Parent: control.Cold{Floor: p.num("domain.parentFloor"), Ramp: p.micros("domain.upperCold"),
 			Multiple: p.num("domain.parentBreaksAt"), Window: p.micros("rules.tipAfter")},
 		PurgeSettles: p.micros("domain.purgeSettles"),
-		AnswerSlack:  p.micros("rules.answerSlack"),
 	}
 	if p.m["domain.midKind"] != "" {
 		s.ParentKind = p.whole("domain.midKind")
@@ -93,17 +89,14 @@
 	for i := range count {
 		at := fmt.Sprintf("classes.%d.", i)
 		v := control.Vhost{
-			Aim:      p.micros(at + "aim"),
-			Stretch:  p.num(at + "aimStretch"),
-			Timeout:  p.micros(at + "deadline"),
-			Value:    p.num(at + "value"),
-			Late:     p.num(at + "lateWorth"),
-			Window:   p.micros(at + "window"),
-			Fresh:    p.item("domain.classFresh", i).micros(""),
-			Grace:    p.item("domain.classGrace", i).micros(""),
-			InParts:  p.item("domain.inParts", i).truth(""),
-			Write:    p.item("domain.passOn", i).truth(""),
-			OldValue: p.item("domain.worthWhenOld", i).num(""),
+			Aim:     p.micros(at + "aim"),
+			Stretch: p.num(at + "aimStretch"),
+			Timeout: p.micros(at + "deadline"),
+			Window:  p.micros(at + "window"),
+			Fresh:   p.item("domain.classFresh", i).micros(""),
+			Grace:   p.item("domain.classGrace", i).micros(""),
+			InParts: p.item("domain.inParts", i).truth(""),
+			Write:   p.item("domain.passOn", i).truth(""),
 		}
 		switch p.m[at+"idempotency"] {
 		case "read_like":
