--- a/control/control.go
+++ b/control/control.go
@@ -439,6 +439,7 @@
 	case x.node.role == cache && float64(x.node.out) > x.node.room/2:
 		adapt(&x.node.room, x.node.out, good, blame) // a pressed cache is late whatever the link does
 	default:
+		adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
 		adapt(&d.linkRoom, d.fills, good, blame)
 		if good {
 			adapt(&x.node.room, x.node.out, good, blame)
