--- a/control/control.go
+++ b/control/control.go
@@ -13,45 +13,54 @@
 
 // Tuned values. Each holds for every deployment.
 const (
-	period      = 500 * time.Millisecond // diffusion: a few reqs of each cache fall into one period
-	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long enough to rise
-	loadBuckets = 4                      // over the noise of single reqs, short against a hot object's stay
-	hotShare    = 0.04                   // share of a director's reqs that makes an object hot: one viewer of a few dozen
-	noiseTimes  = 2                      // of a gap only what lies over so many deviations of the counts shifts
+	period      = 500 * time.Millisecond // of diffusion: some reqs of each cache fall into one
+	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long against
+	loadBuckets = 4                      // single reqs, short against a hot object's stay
+	hotShare    = 0.04                   // of a director's reqs: one busy viewer is not hot yet
+	noiseTimes  = 2                      // deviations of the counts that a gap must exceed to shift
+	leastAway   = 0.25                   // of a hot object, outside its home whatever the gap
 	leastShare  = 0.01                   // a share below it goes back
-	leastAway   = 0.25                   // a hot object's part outside its home, whatever the gap
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
-	tableSize   = 8192                   // objects
-	crowdTimes  = 1.25                   // a cache is crowded at this multiple of its peers' mean dispatches out
-	holderPlus  = 2                      // and these where the cache has the part: elsewhere it must be filled
-	crowdPlus   = 1                      // and this many more: a few are chance
-	leastWait   = 400 * time.Millisecond // no dispatch is overdue before this: pauses are shorter
-	mostWait    = 2500 * time.Millisecond
-	overhead    = 100 * time.Millisecond // ways and handshakes, on top of sending
-	waitDevs    = 4                      // an overdue dispatch took this many mean deviations over the mean
-	silentAt    = 3                      // overdue dispatches since the last sign of life that mean silence
-	badAt       = 3                      // failures that are not chance
-	badOver     = 0.3                    // share of failures above the fleet's median
-	asideFor    = 2 * time.Second        // set aside for this and up to half as much again by chance
-	roomAtStart = 12                     // dispatches out at a cache, until its answers tell more
-	roomLeast   = 2                      // so that there is always something to learn from
-	roomQuick   = 8                      // below it each timely answer makes room for one more
-	timely      = 0.85                   // of its aim: an answer that took longer is a sign of too much already
-	crowdSign   = 8                      // a single late answer of unknown size counts this multiple of the share of late ones
-	unsized     = 1.2                    // and longer by this where the size is not known: it may just be large
-	usualSlack  = 4                      // aims of so many sending times get the room as it is, tighter ones less
-	mostSlack   = 2                      // and looser ones at most this multiple
-	linkAtStart = 24                     // the same for fills through the location's link
-	takeFades   = 0.95                   // by period, while it answers: a peak counts for some seconds
-
-	coldSafety  = 0.75                 // part of a cold machine's budget that is used: capacity is a guess
-	againEach   = 0.15                 // further dispatches earned by each req
-	againMost   = 25                   // and saved up: a cache's worth of reqs
-	answerEarly = 6 * time.Millisecond // the last answer leaves this long before the client timeout
-	clearly     = 1.5                  // the second parent of an object's pair must be quicker by this: the first may have the object
-	settle      = 1.0 / 16             // weight of one more sample in what is smoothed
-	restless    = 3 * time.Second      // half-life of a source's fill latency that is not renewed
+	tableSize   = 8192                   // objects: minutes of reqs
+	purgeMargin = time.Second            // a purge is kept in mind this much longer than it lasts
+
+	// Links carry few transfers at once: a cache a little fuller than its peers is late already.
+	crowdTimes = 1.25 // crowded: over this multiple of the mean dispatches out,
+	crowdPlus  = 1    // and one more, which may be chance,
+	holderPlus = 2    // and two more where the part is, since elsewhere it must be filled
+
+	roomAtStart = 12   // dispatches out at a machine, until its answers tell more
+	linkAtStart = 24   // fills out through the location's link, likewise; and at a parent
+	roomLeast   = 2    // so that there is always something to learn from
+	roomQuick   = 8    // below it each timely answer makes room for one more
+	timely      = 0.85 // of its aim: an answer at its aim is a jam begun
+	unsized     = 1.2  // times as long where the size is not known: the req may just be large
+	crowdSign   = 8    // and such a late answer counts this multiple of the share of late ones
+	usualSlack  = 4    // an aim of so many sending times gets the room as it is,
+	mostSlack   = 2    // a tighter one less, a looser one up to this multiple
+
+	overhead  = 100 * time.Millisecond  // ways and handshakes, on top of sending
+	waitDevs  = 4                       // overdue: this many mean deviations over the mean,
+	leastWait = 400 * time.Millisecond  // never before this, as pauses are shorter,
+	mostWait  = 2500 * time.Millisecond // and after this in any case
+	silentAt  = 3                       // overdue since the last sign of life: no chance any more
+	badAt     = 3                       // failures that are not chance
+	badOver   = 0.3                     // share of failures above the fleet's median
+	asideFor  = 2 * time.Second         // and up to half as much again by chance
+
+	coldSafety  = 0.75                   // of a cold machine's budget, as its capacity is a guess
+	takeFades   = 0.95                   // by period while it answers: a peak counts for seconds
+	againEach   = 0.15                   // further dispatches earned by each req
+	againMost   = 25                     // and saved up: a cache's worth of reqs
+	backLeast   = 200 * time.Millisecond // a denied client may come back after this and a random
+	backSpread  = 600 * time.Millisecond // part of this, so that they do not come together
+	answerEarly = 6 * time.Millisecond   // the last answer leaves this long before the client timeout
+	clearly     = 1.5                    // times quicker: the first of a pair may have the object
+	restless    = 3 * time.Second        // half-life of a fill latency that is not renewed
+	settle      = 1.0 / 16               // weight of one more sample in what is smoothed
+	firstDev    = 0.5                    // a vhost's deviation, and
+	firstSend   = 0.5                    // its sending time by its aim, until answers tell
 )
 
 // Req takes a client's req; from here on it is owed one final answer.
@@ -94,7 +103,8 @@
 	if !hit && !passBy && d.waits(now, r) {
 		return
 	}
-	look := !hit && !r.v.Write && (held || float64(d.fills) >= d.linkRoom*d.slack(r)) // no fill, only what is held
+	full := float64(d.fills) >= d.linkRoom*d.slack(r)
+	look := !hit && !r.v.Write && (held || full) // no fill, only what is held
 	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
 		return
@@ -236,9 +246,9 @@
 	return true
 }
 
-// source is the better of two random parents by smoothed fill latency, nearer hubs first, else the origin. Where that is silent
-// too, but for one dispatch that tries it, a parent is asked for what it holds: set aside or not, it may have
-// failed only for what lies behind it. Guards against an origin that is out, or cut off.
+// source is the better of two random parents by smoothed fill latency, nearer hubs first, else the origin.
+// Where that is silent too, but for one dispatch that tries it, a parent is asked for what it holds, set aside
+// or not: it may have failed only for what lies behind it. Guards against an origin that is out or cut off.
 func (d *Director) source(now time.Duration, r *req) (n *node, held bool) {
 	if r.v.Write && d.origin != nil {
 		return d.origin, false // a parent holds no writes
@@ -378,7 +388,7 @@
 	if r.v.Effect == Replayable || r.mayRun == nil || r.v.Effect == Uniqued && r.v.Group == GroupAll {
 		back := time.Duration(0)
 		if d.set.comeBack {
-			back = min(d.set.maxComeBack, time.Duration((0.2+0.6*unit(d.chance(r.id)))*float64(time.Second)))
+			back = min(d.set.maxComeBack, backLeast+time.Duration(unit(d.chance(r.id))*float64(backSpread)))
 		}
 		d.front.Deny(r.id, back)
 		return
@@ -400,13 +410,7 @@
 		return
 	}
 	x := r.sent[o.Dispatch]
-	x.over = true
-	r.open--
-	d.outs = slices.DeleteFunc(d.outs, func(y *dispatch) bool { return y == x })
-	x.node.out--
-	if x.source.role != cache && !x.expectHit {
-		x.source.out--
-	}
+	d.land(x)
 	switch o.Ending {
 	case Full, NoConnect, Moot, Miss: // proof that it never ran
 		if r.mayRun == x {
@@ -414,38 +418,7 @@
 		}
 	}
 	d.learn(now, x, o)
-	if !x.expectHit {
-		d.fills--
-	}
-	limit := timely * float64(d.aim(r))
-	if !d.sized(r) {
-		limit *= unsized
-	}
-	good := o.Ending == Done && float64(o.Took) <= limit
-	blame := 1.0
-	if o.Ending == Done && !d.sized(r) {
-		blame = min(1, crowdSign*d.lateShare)
-	}
-	if late := 0.0; o.Ending == Done {
-		if !good {
-			late = 1
-		}
-		d.lateShare += (late - d.lateShare) * settle
-	}
-	switch {
-	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
-	case x.expectHit || o.Fill == Hit:
-		adapt(&x.node.room, x.node.out, good, blame)
-	case x.node.role == cache && float64(x.node.out) > x.node.room/2:
-		adapt(&x.node.room, x.node.out, good, blame) // a pressed cache is late whatever the link does
-	default:
-		adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
-		adapt(&d.linkRoom, d.fills, good, blame)
-		if good {
-			adapt(&x.node.room, x.node.out, good, blame)
-			adapt(&x.source.room, x.source.out, good, blame)
-		}
-	}
+	d.crowding(x, o)
 	if r.part.filling == x {
 		r.part.filling = nil
 		for _, q := range slices.Clone(r.part.behind) {
@@ -557,6 +530,39 @@
 	n.ok.Add(now, 1)
 }
 
+// crowding tells from one answer whether its cache, its source and the link have room for more or too much.
+func (d *Director) crowding(x *dispatch, o Outcome) {
+	r := x.r
+	limit := timely * float64(d.aim(r))
+	if !d.sized(r) {
+		limit *= unsized
+	}
+	good := o.Ending == Done && float64(o.Took) <= limit
+	blame := 1.0
+	if o.Ending == Done && !d.sized(r) {
+		blame = min(1, crowdSign*d.lateShare)
+	}
+	if late := 0.0; o.Ending == Done {
+		if !good {
+			late = 1
+		}
+		d.lateShare += (late - d.lateShare) * settle
+	}
+	switch {
+	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
+	case x.expectHit || o.Fill == Hit:
+		adapt(&x.node.room, x.node.out, good, blame)
+	case x.node.role == cache && float64(x.node.out) > x.node.room/2:
+		adapt(&x.node.room, x.node.out, good, blame) // a pressed cache is late whatever the link does
+	default:
+		adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
+		adapt(&d.linkRoom, d.fills, good, blame)
+		if good {
+			adapt(&x.node.room, x.node.out, good, blame)
+		}
+	}
+}
+
 // slack widens the room for a req whose aim leaves it many sending times, and narrows it for one that a
 // little crowding makes late: under pressure what costs most for its value is denied first.
 func (d *Director) slack(r *req) float64 {
@@ -755,9 +761,7 @@
 	for _, l := range list {
 		n := d.nodes[l.Node]
 		if n == nil {
-			n = &node{id: l.Node, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
-				ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart}
-			d.nodes[l.Node] = n
+			n = d.meet(l.Node)
 		}
 		n.zone, n.cell, n.ready = l.Zone, l.Cell, l.State == Ready
 		switch {
--- a/control/state.go
+++ b/control/state.go
@@ -9,7 +9,8 @@
 
 // Start makes a director that knows nothing yet.
 func Start(s Settings, f Front) *Director {
-	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{}, again: againMost, linkRoom: linkAtStart,
+	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{},
+		again: againMost, linkRoom: linkAtStart,
 		reqs: map[uint32]*req{}, tokens: map[uint32]*req{}, purged: map[uint64]time.Duration{},
 		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
 	d.identity = s.Seed ^ uint64(s.Me)<<48
@@ -24,7 +25,8 @@
 		d.set.hubs = max(d.set.hubs, h+1)
 	}
 	for _, v := range s.Vhosts {
-		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: 0.5, send: v.Aim / 2, least: v.Aim / 2})
+		send := time.Duration(firstSend * float64(v.Aim))
+		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: firstDev, send: send, least: send})
 	}
 	f.After(period, 0)
 	return d
@@ -116,7 +118,8 @@
 func (d *Director) object(now time.Duration, id uint64, group uint32) *object {
 	o := d.objects[id]
 	if o == nil {
-		o = &object{id: id, group: group, asks: NewRing(loadWidth, 2*loadBuckets), as: -1, parts: map[uint32]*part{}}
+		o = &object{id: id, group: group, asks: NewRing(loadWidth, 2*loadBuckets), as: -1,
+			parts: map[uint32]*part{}}
 		if len(d.table) >= tableSize {
 			delete(d.objects, d.table[0].id)
 			d.table = d.table[1:]
@@ -175,7 +178,7 @@
 		}
 		return gone
 	})
-	settled := now - d.set.purgeSettles - time.Second
+	settled := now - d.set.purgeSettles - purgeMargin
 	maps.DeleteFunc(d.purged, func(_ uint64, at time.Duration) bool { return at < settled })
 	maps.DeleteFunc(d.purgedAll, func(_ uint32, at time.Duration) bool { return at < settled })
 }
@@ -188,3 +191,26 @@
 	way := (d.set.hubOf[zone] - d.set.hub + d.set.hubs) % max(1, d.set.hubs)
 	return min(way, d.set.hubs-way)
 }
+
+// meet makes the record of a machine listed for the first time.
+func (d *Director) meet(id uint32) *node {
+	n := &node{id: id, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
+		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart}
+	d.nodes[id] = n
+	return n
+}
+
+// land takes a dispatch that has ended off the books.
+func (d *Director) land(x *dispatch) {
+	x.over = true
+	x.r.open--
+	d.outs = slices.DeleteFunc(d.outs, func(y *dispatch) bool { return y == x })
+	x.node.out--
+	if x.expectHit {
+		return
+	}
+	d.fills--
+	if x.source.role != cache {
+		x.source.out--
+	}
+}
