--- a/control/control.go
+++ b/control/control.go
@@ -247,8 +247,8 @@
 }
 
 // source is the better of two random parents by smoothed fill latency, nearer hubs first, else the origin.
-// Where that is silent too, but for one dispatch that tries it, a parent is asked for what it holds, set aside
-// or not: it may have failed only for what lies behind it. Guards against an origin that is out or cut off.
+// Where that is silent too, but for one dispatch that tries it, a parent is asked for what it holds, aside or
+// not: it may have failed only for what lies behind it. Guards against an origin that is out or cut off.
 func (d *Director) source(now time.Duration, r *req) (n *node, held bool) {
 	if r.v.Write && d.origin != nil {
 		return d.origin, false // a parent holds no writes
