--- a/control/control_test.go
+++ b/control/control_test.go
@@ -215,6 +215,11 @@
 	if after := w.d.takes(c); before < 1 || after < 0.8*before {
 		t.Errorf("took %.2f a second before the outage, %.2f after", before, after)
 	}
+	w.tell(false, Listed{Node: 10, Zone: 1}, Listed{Node: 11, Zone: 1}, Listed{Node: 12, Zone: 1},
+		Listed{Node: 20, State: Ready, Zone: 1, Booted: true, Boot: w.now})
+	if after := w.d.takes(w.d.nodes[20]); after < 0.8*before {
+		t.Errorf("took %.2f a second before a release of all caches, %.2f after", before, after)
+	}
 }
 
 // Connections that break now and then at all caches, each taking several dispatches along, set none aside.
--- a/control/state.go
+++ b/control/state.go
@@ -94,11 +94,12 @@
 	return sum
 }
 
-// takes is what machines like n took of us a second when warm: their mean.
+// takes is what machines like n took of us a second when warm: their mean, with those that are gone. A release
+// may replace all of them at once, and the new ones are of their kind.
 func (d *Director) takes(n *node) float64 {
 	sum, count := 0.0, 0.0
-	for _, p := range d.peers(n) {
-		if p.take > 0 {
+	for _, p := range d.met {
+		if p.role == n.role && p.take > 0 {
 			sum += p.take
 			count++
 		}
@@ -196,7 +197,7 @@
 func (d *Director) meet(id uint32) *node {
 	n := &node{id: id, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
 		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart}
-	d.nodes[id] = n
+	d.nodes[id], d.met = n, append(d.met, n)
 	return n
 }
 
--- a/control/types.go
+++ b/control/types.go
@@ -271,6 +271,7 @@
 	set               settings
 	vhosts            []*vhost
 	nodes             map[uint32]*node
+	met               []*node // the same, in the order in which they were met
 	caches, parents   []*node // ready, by id
 	origin            *node
 	version           int
