--- a/control/control.go
+++ b/control/control.go
@@ -76,8 +76,7 @@
 	}
 	r.obj.asks.Add(now, 1)
 	d.asks.Add(now, 1)
-	r.obj.seen++
-	r.obj.last = now
+	r.obj.seen, r.obj.last = r.obj.seen+1, now
 	d.again = min(againMost, d.again+againEach)
 	d.front.After(r.deadline-answerEarly-now, r.token)
 	d.route(now, r)
@@ -269,6 +268,9 @@
 		}
 		fit = ready
 	}
+	if len(fit) == 1 && !held && d.origin != nil && d.origin.out < fit[0].out/2 {
+		return d.origin, false // guards one parent alone from carrying what two did
+	}
 	slices.SortFunc(fit, byHash(r.obj.id))
 	slices.SortStableFunc(fit, func(a, b *node) int { return a.hops - b.hops }) // bytes count again for each hub
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
