--- a/control/control_test.go
+++ b/control/control_test.go
@@ -157,6 +157,22 @@
 	w.sound(t)
 }
 
+func TestUniquedKeepsToItsCellAndWindow(t *testing.T) {
+	w := newWorld(1, 4)
+	w.manual = true
+	for _, vhost := range []int{2, 3} { // uniqued, non-replayable
+		for _, wait := range []time.Duration{20 * ms, 200 * ms} { // the window is 150 ms
+			id := w.ask(vhost, 5, 0)
+			w.run(w.now + wait)
+			w.end(id, Outcome{Ending: Failed})
+			if a := w.asks[id]; len(a.tries) > 1 != (vhost == 2 && wait < 150*ms) {
+				t.Errorf("vhost %d: %d dispatches after a failure at %v", vhost, len(a.tries), wait)
+			}
+		}
+	}
+	w.sound(t)
+}
+
 // With one parent out the other must not carry all its fills: the origin takes a share.
 func TestOneParentAloneSharesWithTheOrigin(t *testing.T) {
 	w := newWorld(1, 4)
@@ -323,8 +339,8 @@
 	}
 	for range 12 {
 		w.now += 50 * ms
-		for id, a := range w.asks {
-			for n := range a.tries {
+		for id := first; id <= w.nextID; id++ {
+			for n := range w.asks[id].tries {
 				w.end(id, Outcome{Dispatch: n, Fill: Hit})
 			}
 		}
