Tidy: one release of waiting reqs, one check of a harmless repeat, less kept state

Found on a reading of the whole. The loop that frees reqs behind a fill and the test whether a req may run again stood twice; whether an object is hot follows from its shares; a ring's sum was kept and yet added up anew each time; load reports were copied for each outcome and read by nobody; a comment spoke of a trial count that is gone.

--- a/control/control.go
+++ b/control/control.go
@@ -69,7 +69,7 @@
 	r := &req{id: a.ID, token: d.lastToken, v: d.vhosts[a.Vhost], partNo: a.Part, kb: a.KB, came: now,
 		deadline: a.Deadline}
 	d.reqs[r.id], d.tokens[r.token] = r, r
-	r.obj = d.object(now, a.Obj, a.Group)
+	r.obj = d.object(a.Obj, a.Group)
 	if r.part = r.obj.parts[a.Part]; r.part == nil {
 		r.part = &part{}
 		r.obj.parts[a.Part] = r.part
@@ -172,7 +172,6 @@
 		if c == nil || !d.budget(now, c, r) || !r.allowed(now, c) {
 			return false
 		}
-
 		if c.aside > now || float64(c.out) >= c.room*d.slack(r) || r.tried(c) {
 			return false
 		}
@@ -201,7 +200,6 @@
 			return c
 		}
 	}
-
 	return second
 }
 
@@ -387,7 +385,7 @@
 // giveUp answers at once, with a denial wherever a retry is harmless.
 func (d *Director) giveUp(now time.Duration, r *req) {
 	d.move(now, r, ended)
-	if r.v.Effect == Replayable || r.mayRun == nil || r.v.Effect == Uniqued && r.v.Group == GroupAll {
+	if r.mayRun == nil || r.v.repeatable() {
 		back := time.Duration(0)
 		if d.set.comeBack {
 			back = min(d.set.maxComeBack, backLeast+time.Duration(unit(d.chance(r.id))*float64(backSpread)))
@@ -398,6 +396,11 @@
 	d.front.Abort(r.id)
 }
 
+// repeatable tells whether a req of the vhost may run again at any cache.
+func (v *vhost) repeatable() bool {
+	return v.Effect == Replayable || v.Effect == Uniqued && v.Group == GroupAll
+}
+
 // Left tells that the client has gone.
 func (d *Director) Left(now time.Duration, id uint32) {
 	if r := d.reqs[id]; r != nil && r.state != ended {
@@ -421,12 +424,7 @@
 	}
 	d.learn(now, x, o)
 	d.crowding(x, o)
-	if r.part.filling == x {
-		r.part.filling = nil
-		for _, q := range slices.Clone(r.part.behind) {
-			d.route(now, q)
-		}
-	}
+	d.release(now, x)
 	switch {
 	case r.state == ended:
 		d.drop(r)
@@ -457,12 +455,12 @@
 	fillBad := o.Fill == SourceRefused || o.Fill == SourceUnreached || o.Fill == OriginFailed
 	switch {
 	case o.Ending == Done:
-		d.alive(now, c)
+		c.alive(now)
 		c.load.Add(now, 1)
 		c.work.Add(now, r.v.send.Seconds())
 		x.fit(d, o)
 		if o.Fill == Filled || o.Fill == FilledByOrigin {
-			d.alive(now, s)
+			s.alive(now)
 			s.work.Add(now, r.v.send.Seconds())
 			wait := o.Waited
 			if wait == 0 {
@@ -472,13 +470,13 @@
 			s.waitAt = now
 		}
 	case fillBad:
-		d.alive(now, c)
+		c.alive(now)
 		if s.role != cache {
 			s.bad.Add(now, 1)
 			d.judge(now, s)
 		}
 	case o.Ending == Miss || o.Ending == Full:
-		d.alive(now, c)
+		c.alive(now)
 	case o.Ending == NoConnect:
 		c.wiped, c.lived = now, now-leastWait // dead, however lately it answered
 		c.late++
@@ -526,12 +524,6 @@
 	}
 }
 
-// alive notes a sign of life: a machine on trial carries one more.
-func (d *Director) alive(now time.Duration, n *node) {
-	n.late, n.lived = 0, now
-	n.ok.Add(now, 1)
-}
-
 // crowding tells from one answer whether its cache, its source and the link have room for more or too much.
 func (d *Director) crowding(x *dispatch, o Outcome) {
 	r := x.r
@@ -544,11 +536,11 @@
 	if o.Ending == Done && !d.sized(r) {
 		blame = min(1, crowdSign*d.lateShare)
 	}
-	if late := 0.0; o.Ending == Done {
+	if o.Ending == Done {
+		d.lateShare -= d.lateShare * settle
 		if !good {
-			late = 1
+			d.lateShare += settle
 		}
-		d.lateShare += (late - d.lateShare) * settle
 	}
 	switch {
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
@@ -634,7 +626,7 @@
 	}
 	for _, x := range slices.Clone(d.outs) {
 		if x.r.state == out && (x.node == n || x.source == n && !x.expectHit) && d.set.mayCancel &&
-			(x.r.v.Effect == Replayable || x.r.v.Effect == Uniqued && x.r.v.Group == GroupAll) {
+			x.r.v.repeatable() {
 			d.move(now, x.r, recalled)
 		}
 	}
@@ -677,9 +669,14 @@
 	if x.node.silent(now) {
 		d.setAside(now, x.node)
 	}
-	if x.r.part.filling == x {
-		x.r.part.filling = nil
-		for _, q := range slices.Clone(x.r.part.behind) {
+	d.release(now, x)
+}
+
+// release lets the reqs that wait behind a fill go on once it has ended or is overdue.
+func (d *Director) release(now time.Duration, x *dispatch) {
+	if p := x.r.part; p.filling == x {
+		p.filling = nil
+		for _, q := range slices.Clone(p.behind) {
 			d.route(now, q)
 		}
 	}
@@ -692,8 +689,7 @@
 	total := d.asks.Sum(now)
 	alpha := 1 / float64(2+len(d.caches)-1)
 	for _, o := range d.table {
-		o.hot = o.asks.Sum(now) > max(3, hotShare*total)
-		if !o.hot || len(d.order(o)) < 2 {
+		if hot := o.asks.Sum(now) > max(3, hotShare*total); !hot || len(d.order(o)) < 2 {
 			o.away = nil
 		} else if len(o.away) == 0 {
 			o.away = []share{{o.order[1], leastAway}}
@@ -704,13 +700,13 @@
 			if j == home || home.aside > now || j.aside > now {
 				continue
 			}
-			gap := home.load.Rate(now, 0) - j.load.Rate(now, 0)
+			gap := home.load.Rate(now) - j.load.Rate(now)
 			noise := math.Sqrt(home.load.Sum(now)+j.load.Sum(now)) / home.load.Span().Seconds()
 			gap = alpha * math.Copysign(max(0, math.Abs(gap)-noiseTimes*noise), gap)
 			atHome, atJ := 0.0, 0.0
 			for _, o := range d.table {
-				if o.hot && len(o.order) > 1 && o.order[0] == home {
-					rate := o.asks.Rate(now, 0)
+				if len(o.away) > 0 && o.order[0] == home { // a hot one
+					rate := o.asks.Rate(now)
 					atHome += rate * (1 - o.awayAt(nil))
 					atJ += rate * o.awayAt(j)
 				}
@@ -723,7 +719,7 @@
 				continue
 			}
 			for _, o := range d.table {
-				if o.hot && len(o.order) > 1 && o.order[0] == home {
+				if len(o.away) > 0 && o.order[0] == home { // a hot one
 					o.shift(j, shift/at)
 				}
 			}
@@ -748,7 +744,7 @@
 func (d *Director) measure(now time.Duration) {
 	for _, n := range slices.Concat(d.caches, d.parents) {
 		if d.warm(now, n) && now-n.lived < 2*period {
-			n.take = max(n.take*takeFades, n.work.Rate(now, 0))
+			n.take = max(n.take*takeFades, n.work.Rate(now))
 		}
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -60,7 +60,7 @@
 // hotWorld has one hot object of which each cache serves a stated number of reqs.
 func hotWorld(caches int, served map[int]int) (*world, *object) {
 	w := newWorld(1, caches)
-	o := w.d.object(0, 5, 0)
+	o := w.d.object(5, 0)
 	o.last = 2 * time.Second
 	o.asks.Add(1900*ms, 200)
 	w.d.asks.Add(1900*ms, 400)
@@ -74,7 +74,7 @@
 	w, o := hotWorld(4, map[int]int{0: 400, 1: 100, 2: 100, 3: 400})
 	w.d.diffuse(2 * time.Second)
 	gap, noise := 150.0, math.Sqrt(500)/2
-	rate := o.asks.Rate(2*time.Second, 0)
+	rate := o.asks.Rate(2 * time.Second)
 	want := (gap - noise) / 5 // a home and three others: alpha is 1/5
 	if got := o.awayAt(o.order[2]) * rate; math.Abs(got-want) > 0.2*want {
 		t.Errorf("shifted %.1f a second to the third, want about %.1f", got, want)
--- a/control/ring.go
+++ b/control/ring.go
@@ -7,7 +7,6 @@
 	width  time.Duration
 	bucket []float64
 	newest int64
-	sum    float64
 }
 
 func NewRing(width time.Duration, buckets int) Ring {
@@ -20,17 +19,19 @@
 func (g *Ring) Add(now time.Duration, v float64) {
 	g.turn(now)
 	g.bucket[g.newest%int64(len(g.bucket))] += v
-	g.sum += v
 }
 
-func (g *Ring) Sum(now time.Duration) float64 {
+func (g *Ring) Sum(now time.Duration) (sum float64) {
 	g.turn(now)
-	return g.sum
+	for _, v := range g.bucket {
+		sum += v
+	}
+	return sum
 }
 
-// Rate is the sum for each second of the span, or of the time lived where that is shorter.
-func (g *Ring) Rate(now, since time.Duration) float64 {
-	lived := min(g.Span(), max(now-since, g.width))
+// Rate is the sum for each second of the span, or of the time since the start where that is shorter.
+func (g *Ring) Rate(now time.Duration) float64 {
+	lived := min(g.Span(), max(now, g.width))
 	return g.Sum(now) / lived.Seconds()
 }
 
@@ -43,8 +44,4 @@
 	if g.newest < at {
 		g.newest = at
 	}
-	g.sum = 0
-	for _, v := range g.bucket {
-		g.sum += v
-	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -116,7 +116,7 @@
 }
 
 // object finds or makes the record of an object; a full table forgets its oldest.
-func (d *Director) object(now time.Duration, id uint64, group uint32) *object {
+func (d *Director) object(id uint64, group uint32) *object {
 	o := d.objects[id]
 	if o == nil {
 		o = &object{id: id, group: group, asks: NewRing(loadWidth, 2*loadBuckets), as: -1,
@@ -215,3 +215,9 @@
 		x.source.out--
 	}
 }
+
+// alive notes a sign of life.
+func (n *node) alive(now time.Duration) {
+	n.late, n.lived = 0, now
+	n.ok.Add(now, 1)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -151,8 +151,7 @@
 	Took     time.Duration
 	Waited   time.Duration // to the source's first byte or failure; 0: not told
 	Fill     Fill
-	Final    bool      // the req is finished, by this or before it
-	Load     []float64 // the cache's report in the order of the settings, if any came
+	Final    bool // the req is finished, by this or before it
 }
 
 // What a director keeps. Objects point to each other; ids are used only at the door.
@@ -200,10 +199,9 @@
 	asks  Ring
 	seen  int
 	last  time.Duration
-	order []*node // the location's caches, home first
-	as    int     // the list's version that order is of
-	away  []share // what of it goes to others than its home; home has the rest
-	hot   bool
+	order []*node       // the location's caches, home first
+	as    int           // the list's version that order is of
+	away  []share       // what of it goes to others than its home; home has the rest
 	send  time.Duration // smoothed sending time
 	parts map[uint32]*part
 }
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -155,7 +155,7 @@
 			}
 		case evProbeDone: // nobody here probes
 			r.take(10, "probe_done")
-			r.take(4*r.count(uint32(r.u8("probe_done")), 4, "pressure"), "pressure")
+			r.pressure()
 		case evPeer: // nor talks to peers
 			r.take(2, "peer")
 			r.take(r.count(uint32(r.u16("peer")), 1, "peer"), "peer")
@@ -202,13 +202,15 @@
 	if note := r.u32("finished"); note <= uint32(control.OriginFailed) {
 		o.Fill = control.Fill(note) // numbered alike
 	}
-	n := r.count(uint32(r.u8("finished")), 4, "pressure")
-	for range n {
-		o.Load = append(o.Load, r.f32("pressure"))
-	}
+	r.pressure() // no decision goes by load reports yet
 	return id, o
 }
 
+// pressure reads past a load report.
+func (r *reader) pressure() {
+	r.take(4*r.count(uint32(r.u8("pressure")), 4, "pressure"), "pressure")
+}
+
 func ending(code uint16) control.Ending {
 	switch code {
 	case 200:
