Cold budgets as a credit of each director's own part; none is guaranteed a dispatch

Now each director has a credit at a cold machine that grows by its own part: what such machines took of it when warm, or its share, by the number of directors told at the start, of two transfers at once. It starts overdrawn by a chance part of one dispatch. Also guards parents against the fills of all locations. Harms where one location has nearly all a parent's demand.

--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,8 @@
 	asideFor  = 2 * time.Second         // and up to half as much again by chance
 
 	coldSafety  = 0.75                   // of a cold machine's budget, as its capacity is a guess
+	coldBurst   = 0.25                   // of a window's budget may be saved up
+	coldLeast   = 2.0                    // transfers at once that any machine carries when warm
 	takeFades   = 0.95                   // by period while it answers: a peak counts for seconds
 	againEach   = 0.15                   // further dispatches earned by each req
 	againMost   = 25                     // and saved up: a cache's worth of reqs
@@ -169,7 +171,7 @@
 	}
 	var second *node
 	try := func(c *node) bool {
-		if c == nil || !d.budget(now, c, r) || !r.allowed(now, c) {
+		if c == nil || !d.budget(now, c) || !r.allowed(now, c) {
 			return false
 		}
 		if c.aside > now || float64(c.out) >= c.room*d.slack(r) || r.tried(c) {
@@ -252,7 +254,7 @@
 	}
 	var fit, ready []*node
 	for _, p := range d.parents {
-		if !d.budget(now, p, r) || r.failedBy(p) {
+		if !d.budget(now, p) || r.failedBy(p) {
 			continue
 		}
 		ready = append(ready, p)
@@ -308,17 +310,29 @@
 	return 2
 }
 
-// budget guards a cold machine from being pushed over by all directors together: each uses its own part,
-// which is what its like took of it when warm. One dispatch a window is always allowed.
-func (d *Director) budget(now time.Duration, n *node, r *req) bool {
+// budget guards a cold machine from being pushed over by all directors together. Each has a credit there that
+// grows by its own part: what its like took of it when warm, or its share of the least that a machine takes.
+// It may be overdrawn by one dispatch, and starts overdrawn by chance, so that many with little do not come at once.
+func (d *Director) budget(now time.Duration, n *node) bool {
 	if n.role == origin || d.warm(now, n) {
 		return true
 	}
 	k := d.cold(n)
 	young := max(0, now-n.boot-k.Window)
 	part := k.Floor + (1-k.Floor)*young.Seconds()/k.Ramp.Seconds()
-	sent := n.sent.Sum(now)
-	return sent == 0 || sent+r.v.send.Seconds() <= coldSafety*k.Multiple*part*d.takes(n)*k.Window.Seconds()
+	rate := coldSafety * k.Multiple * part * max(d.takes(n), coldLeast/d.sharers(n))
+	n.credit = min(n.credit+rate*(now-n.creditAt).Seconds(), rate*k.Window.Seconds()*coldBurst)
+	n.creditAt = now
+	return n.credit > 0
+}
+
+// chill begins a machine's cold time.
+func (d *Director) chill(now time.Duration, n *node, boot time.Duration) {
+	most := time.Duration(0)
+	for _, v := range d.vhosts {
+		most = max(most, v.send)
+	}
+	n.booted, n.boot, n.creditAt, n.credit = true, boot, now, -unit(d.chance(n.id))*most.Seconds()
 }
 
 // send is the one place through which every dispatch passes.
@@ -332,14 +346,14 @@
 	}
 	d.outs = append(d.outs, x)
 	if !d.warm(now, x.node) {
-		x.node.sent.Add(now, r.v.send.Seconds())
+		x.node.credit -= r.v.send.Seconds()
 	}
 	if x.source.role != cache {
 		if !x.expectHit {
 			x.source.out++
 		}
 		if !d.warm(now, x.source) {
-			x.source.sent.Add(now, r.v.send.Seconds())
+			x.source.credit -= r.v.send.Seconds()
 		}
 	}
 	if r.mayRun == nil {
@@ -489,7 +503,7 @@
 		d.judge(now, c)
 	}
 	if o.Fill == Hit && s.role != cache && !d.warm(now, s) {
-		s.sent.Add(now, -r.v.send.Seconds()) // it never asked the source
+		s.credit += r.v.send.Seconds() // it never asked the source
 	}
 	held := o.Ending == Done && !r.v.Write && c.role == cache
 	r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool {
@@ -775,9 +789,9 @@
 		default:
 			n.role = other
 		}
-		if l.Booted && (!n.booted || n.boot != l.Boot) {
-			n.booted, n.boot, n.wiped = true, l.Boot, max(n.wiped, l.Boot)
-			n.sent = NewRing(max(d.cold(n).Window/8, time.Millisecond), 9)
+		if l.Booted && n.listed != l.Boot {
+			n.listed, n.wiped = l.Boot, max(n.wiped, l.Boot)
+			d.chill(now, n, l.Boot)
 			n.aside, n.room, n.late, n.wait = 0, roomLeast, 0, 0
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -254,6 +254,31 @@
 	}
 }
 
+// Many directors at one cold parent, each with little to send there: what all ask of it together stays in bounds.
+func TestManyDirectorsAtOneColdParent(t *testing.T) {
+	total, many := 0, 60
+	for i := range many {
+		w := newWorld(int64(i), 3)
+		w.manual, w.set.Directors, w.set.Here, w.set.Me = true, many, 10, i
+		w.d = Start(w.set, w)
+		w.tell(true, Listed{Node: 1, State: Ready, Kind: 2}, Listed{Node: 2, State: Ready, Kind: 1, Booted: true},
+			Listed{Node: 10, State: Ready, Zone: 1}, Listed{Node: 11, State: Ready, Zone: 1})
+		w.d.nodes[2].take = 6.0 / float64(many) // six transfers at once when all directors share it evenly
+		for obj := range uint64(60) {
+			id := w.ask(0, 100+obj, 0)
+			if w.last.Source == 2 {
+				total++
+			}
+			w.run(w.now + 50*ms)
+			w.end(id, Outcome{Fill: FilledByOrigin})
+		}
+	}
+	k, send := settings0().Parent, 0.2 // it starts with a floor of six transfers and rises to twice that
+	if work := float64(total) * send; work < k.Floor*6 || work > k.Multiple*1.5*k.Floor*6*3 {
+		t.Errorf("%d fills, %.1f s of work in its first three seconds", total, work)
+	}
+}
+
 // Connections that break now and then at all caches, each taking several dispatches along, set none aside.
 func TestBrokenConnectionsEverywhereSetNoCacheAside(t *testing.T) {
 	w := newWorld(1, 4)
--- a/control/state.go
+++ b/control/state.go
@@ -17,7 +17,7 @@
 	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
 		direct: s.Direct, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
 		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
-		purgeSettles: s.PurgeSettles}
+		purgeSettles: s.PurgeSettles, directors: float64(max(1, s.Directors)), here: float64(max(1, s.Here))}
 	if s.Zone < len(s.Hub) {
 		d.set.hub = s.Hub[s.Zone]
 	}
@@ -107,6 +107,14 @@
 	return sum / max(1, count)
 }
 
+// sharers counts the directors that may send to n: those of the location to a cache, else all.
+func (d *Director) sharers(n *node) float64 {
+	if n.role == cache {
+		return d.set.here
+	}
+	return d.set.directors
+}
+
 // peers are the machines that a machine is measured against.
 func (d *Director) peers(n *node) []*node {
 	if n.role == cache {
@@ -196,7 +204,8 @@
 // meet makes the record of a machine listed for the first time.
 func (d *Director) meet(id uint32) *node {
 	n := &node{id: id, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
-		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart}
+		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart,
+		listed: math.MinInt64}
 	d.nodes[id], d.met = n, append(d.met, n)
 	return n
 }
--- a/control/types.go
+++ b/control/types.go
@@ -80,6 +80,8 @@
 	FlowKB        float64 // KB a second of one answer
 	Cache, Parent Cold
 	PurgeSettles  time.Duration
+	Directors     int // in all
+	Here          int // of them in this zone
 }
 
 // State of a machine as listed.
@@ -172,6 +174,7 @@
 	ready      bool
 	booted     bool
 	boot       time.Duration
+	listed     time.Duration // the last start that the list told
 	wiped      time.Duration // copies seen before this are gone
 	out        int           // dispatches of ours that it holds
 	room       float64       // most of them, by how timely its answers are
@@ -183,7 +186,9 @@
 	waitAt     time.Duration
 	take       float64 // the most sending time a second that it took of us lately, fading
 	load       Ring    // reqs served: L
-	work, sent Ring    // sending time served; sent while cold
+	work       Ring    // sending time served
+	credit     float64 // sending time that may be asked of it while cold
+	creditAt   time.Duration
 	ok, bad    Ring
 	hops       int // hubs on the way to a parent
 }
@@ -300,4 +305,5 @@
 	cache, parent               Cold
 	purgeSettles                time.Duration
 	hubOf                       []int
+	directors, here             float64
 }
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -75,7 +75,9 @@
 		Parent: control.Cold{Floor: p.num("domain.parentFloor"), Ramp: p.micros("domain.upperCold"),
 			Multiple: p.num("domain.parentBreaksAt"), Window: p.micros("rules.tipAfter")},
 		PurgeSettles: p.micros("domain.purgeSettles"),
+		Directors:    p.whole("instances"),
 	}
+	s.Here = p.item("domain.zoneBalancers", s.Zone).whole("")
 	if p.m["domain.midKind"] != "" {
 		s.ParentKind = p.whole("domain.midKind")
 	}
