--- a/control/control.go
+++ b/control/control.go
@@ -5,7 +5,6 @@
 package control
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -795,20 +794,5 @@
 			n.aside, n.room, n.late, n.wait = 0, roomLeast, 0, 0
 		}
 	}
-	d.version++
-	d.caches, d.parents, d.origin = nil, nil, nil
-	for _, n := range d.nodes {
-		switch {
-		case !n.ready:
-		case n.role == cache:
-			d.caches = append(d.caches, n)
-		case n.role == parent:
-			d.parents = append(d.parents, n)
-		case n.role == origin && (d.origin == nil || n.id < d.origin.id):
-			d.origin = n
-		}
-	}
-	byID := func(a, b *node) int { return cmp.Compare(a.id, b.id) }
-	slices.SortFunc(d.caches, byID)
-	slices.SortFunc(d.parents, byID)
+	d.relist()
 }
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -210,6 +211,26 @@
 	return n
 }
 
+// relist sorts what is ready by role, after news of the list.
+func (d *Director) relist() {
+	d.version++
+	d.caches, d.parents, d.origin = nil, nil, nil
+	for _, n := range d.nodes {
+		switch {
+		case !n.ready:
+		case n.role == cache:
+			d.caches = append(d.caches, n)
+		case n.role == parent:
+			d.parents = append(d.parents, n)
+		case n.role == origin && (d.origin == nil || n.id < d.origin.id):
+			d.origin = n
+		}
+	}
+	byID := func(a, b *node) int { return cmp.Compare(a.id, b.id) }
+	slices.SortFunc(d.caches, byID)
+	slices.SortFunc(d.parents, byID)
+}
+
 // land takes a dispatch that has ended off the books.
 func (d *Director) land(x *dispatch) {
 	x.over = true
