Caches that fell silent or refused connections are taken to come back cold

Now a refused connection, or being set aside for silence, begins a cold time at once. Copies renewed on every hit, as one director seldom sees a second ask. Guards hung machines too, which return slowly for no need.

--- a/control/control.go
+++ b/control/control.go
@@ -114,7 +114,7 @@
 	}
 	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look}
 	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
-	o.Renew = r.v.Fresh > 0 && r.obj.seen > 1
+	o.Renew = r.v.Fresh > 0 // acts on a hit: others asked before, if not of this director
 	d.send(now, r, x, o)
 }
 
@@ -491,7 +491,8 @@
 	case o.Ending == Miss || o.Ending == Full:
 		c.alive(now)
 	case o.Ending == NoConnect:
-		c.wiped, c.lived = now, now-leastWait // dead, however lately it answered
+		c.wiped, c.lived = now, now-leastWait // dead, however lately it answered; back, it will be cold
+		d.chill(now, c, now)
 		c.late++
 		fallthrough
 	case o.Ending == Reset, o.Ending == Failed, o.Ending == TimedOut && !(x.late && s.late >= silentAt):
@@ -632,6 +633,9 @@
 		}
 	}
 	n.aside = now + asideFor + time.Duration(unit(d.chance(n.id))/2*float64(asideFor))
+	if n.role == cache && n.silent(now) { // it may be restarting, and the list tells that late
+		d.chill(now, n, now)
+	}
 	n.room, n.late = 1, 0
 	n.bad, n.ok = NewRing(loadWidth, 2*loadBuckets), NewRing(loadWidth, 2*loadBuckets)
 	for _, o := range d.table {
