Rooms below one are chances: each of many directors has its part of a joint room

Cause: a director among fifteen of its location has about one dispatch out in all, so rooms of 12 and 24 with a least of 2 never bound, summed over the location they came to several times what links and caches carry, and overload did not end. Now starting rooms, the least room and the steps are parts of one director's by the number told for the zone; below one (or in its fraction) a room is a chance. At caches the draw goes by the part, so that all directors send the same parts elsewhere. Harms where most answers are late for a reason that fewer dispatches do not mend.

--- a/control/control.go
+++ b/control/control.go
@@ -29,10 +29,13 @@
 	crowdPlus  = 1    // and one more, which may be chance,
 	holderPlus = 2    // and two more where the part is, since elsewhere it must be filled
 
+	// Rooms are those of a location's only director; each of many has its part, below one a chance.
 	roomAtStart = 12   // dispatches out at a machine, until its answers tell more
 	linkAtStart = 24   // fills out through the location's link, likewise; and at a parent
+	partAtStart = 0.25 // of either, however many share it: few dispatches come unevenly
 	roomLeast   = 2    // so that there is always something to learn from
 	roomQuick   = 8    // below it each timely answer makes room for one more
+	roomFalls   = 0.25 // of a room, at most one, that a late answer takes where many share
 	timely      = 0.85 // of its aim: an answer at its aim is a jam begun
 	unsized     = 1.2  // times as long where the size is not known: the req may just be large
 	crowdSign   = 8    // and such a late answer counts this multiple of the share of late ones
@@ -103,7 +106,7 @@
 	if !hit && !passBy && d.waits(now, r) {
 		return
 	}
-	full := float64(d.fills) >= d.linkRoom*d.slack(r)
+	full := !fits(d.fills, d.linkRoom*d.slack(r), hash(d.identity, uint64(r.token)))
 	look := !hit && !r.v.Write && (held || full) // no fill, only what is held
 	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
@@ -173,7 +176,11 @@
 		if c == nil || !d.budget(now, c) || !r.allowed(now, c) {
 			return false
 		}
-		if c.aside > now || float64(c.out) >= c.room*d.slack(r) || r.tried(c) {
+		if c.aside > now || r.tried(c) {
+			return false
+		}
+		// By the part, not by chance: what goes elsewhere goes there from all directors, and is filled there once.
+		if !fits(c.out, c.room*d.slack(r), hash(r.obj.id, uint64(r.partNo), uint64(c.id))) {
 			return false
 		}
 		bound := crowdTimes*mean + crowdPlus
@@ -204,6 +211,12 @@
 	return second
 }
 
+// fits tells whether a room has place for one more; what is left below one is a chance.
+func fits(out int, room float64, drawn uint64) bool {
+	left := room - float64(out)
+	return left >= 1 || left > 0 && unit(drawn) < left
+}
+
 // allowed tells whether this req may go to a cache at all: a uniqued one that may have run keeps to the
 // group and time in which a repeat is dropped, a non-replayable one that may have run goes nowhere.
 func (r *req) allowed(now time.Duration, c *node) bool {
@@ -257,7 +270,7 @@
 			continue
 		}
 		ready = append(ready, p)
-		if p.aside <= now && float64(p.out) < p.room {
+		if p.aside <= now && fits(p.out, p.room, hash(d.identity, uint64(r.token), uint64(p.id))) {
 			fit = append(fit, p)
 		}
 	}
@@ -372,29 +385,6 @@
 	return min(mostWait, max(leastWait, time.Duration(usual)))
 }
 
-// move makes every change of a req's state.
-func (d *Director) move(now time.Duration, r *req, to state) {
-	if r.state == queued {
-		r.part.behind = slices.DeleteFunc(r.part.behind, func(q *req) bool { return q == r })
-	}
-	r.state = to
-	switch to {
-	case queued:
-		r.part.behind = append(r.part.behind, r)
-		d.front.After(r.came+r.v.Aim-now, r.token)
-	case recalled, ended:
-		for _, x := range r.sent {
-			if !x.over && d.set.mayCancel {
-				d.front.Cancel(r.id, x.number)
-			}
-		}
-		if to == ended {
-			delete(d.tokens, r.token)
-			d.drop(r)
-		}
-	}
-}
-
 // giveUp answers at once, with a denial wherever a retry is harmless.
 func (d *Director) giveUp(now time.Duration, r *req) {
 	d.move(now, r, ended)
@@ -414,13 +404,6 @@
 	return v.Effect == Replayable || v.Effect == Uniqued && v.Group == GroupAll
 }
 
-// Left tells that the client has gone.
-func (d *Director) Left(now time.Duration, id uint32) {
-	if r := d.reqs[id]; r != nil && r.state != ended {
-		d.move(now, r, ended)
-	}
-}
-
 // Outcome takes the end of a dispatch.
 func (d *Director) Outcome(now time.Duration, id uint32, o Outcome) {
 	r := d.reqs[id]
@@ -559,14 +542,14 @@
 	switch {
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
 	case x.expectHit || o.Fill == Hit:
-		adapt(&x.node.room, x.node.out, good, blame)
+		d.adapt(&x.node.room, x.node.out, good, blame)
 	case x.node.role == cache && float64(x.node.out) > x.node.room/2:
-		adapt(&x.node.room, x.node.out, good, blame) // a pressed cache is late whatever the link does
+		d.adapt(&x.node.room, x.node.out, good, blame) // a pressed cache is late whatever the link does
 	default:
-		adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
-		adapt(&d.linkRoom, d.fills, good, blame)
+		d.adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
+		d.adapt(&d.linkRoom, d.fills, good, blame)
 		if good {
-			adapt(&x.node.room, x.node.out, good, blame)
+			d.adapt(&x.node.room, x.node.out, good, blame)
 		}
 	}
 }
@@ -583,22 +566,24 @@
 }
 
 // adapt makes room for one more where answers come in time, quickly from little, and takes one away for
-// each that is late or turned away. Guards against overload, slow machines and a full link alike.
-func adapt(room *float64, out int, good bool, blame float64) {
+// each that is late or turned away. Guards against overload, slow machines and a full link alike. Where many
+// directors share the machine each has a part of its room, and moves it by as much.
+func (d *Director) adapt(room *float64, out int, good bool, blame float64) {
+	part := 1 / d.set.here
 	switch {
 	case !good:
-		*room = max(min(*room, roomLeast), *room-blame)
-	case *room < roomQuick:
-		*room++
-	case float64(out) > *room/2:
-		*room += 1 / *room
+		*room = max(min(*room, roomLeast*part), *room-blame*min(1, max(part, *room*roomFalls)))
+	case *room < roomQuick*part:
+		*room += part
+	case float64(out+1) > *room/2:
+		*room += min(part, 1 / *room)
 	}
 }
 
 // silent tells whether enough has failed or is overdue since the last sign of life, and that was not just
 // now: a burst may come due together at a machine that is only busy. On trial one is enough.
 func (n *node) silent(now time.Duration) bool {
-	return float64(n.late) >= min(silentAt, n.room) && now-n.lived >= leastWait
+	return (n.late >= silentAt || n.trial && n.late > 0) && now-n.lived >= leastWait
 }
 
 // judge sets a machine aside whose share of failures lies well above the median of its peers.
@@ -636,7 +621,7 @@
 	if n.role == cache && n.silent(now) { // it may be restarting, and the list tells that late
 		d.chill(now, n, now)
 	}
-	n.room, n.late = 1, 0
+	n.room, n.late, n.trial = min(n.room, 1), 0, true
 	n.bad, n.ok = NewRing(loadWidth, 2*loadBuckets), NewRing(loadWidth, 2*loadBuckets)
 	for _, o := range d.table {
 		o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.n == n })
@@ -784,8 +769,8 @@
 			n.role = origin
 		case l.Kind == d.set.parentKind:
 			n.hops = d.hops(l.Zone)
-			if n.role = parent; n.room == roomAtStart {
-				n.room = linkAtStart
+			if n.role != parent {
+				n.role, n.room = parent, linkAtStart*max(partAtStart, 1/d.set.here)
 			}
 		case l.Zone == d.set.zone:
 			n.role = cache
@@ -795,7 +780,7 @@
 		if l.Booted && n.listed != l.Boot {
 			n.listed, n.wiped = l.Boot, max(n.wiped, l.Boot)
 			d.chill(now, n, l.Boot)
-			n.aside, n.room, n.late, n.wait = 0, roomLeast, 0, 0
+			n.aside, n.room, n.late, n.wait, n.trial = 0, roomLeast, 0, 0, false
 		}
 	}
 	d.relist()
--- a/control/state.go
+++ b/control/state.go
@@ -11,8 +11,8 @@
 // Start makes a director that knows nothing yet.
 func Start(s Settings, f Front) *Director {
 	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{},
-		again: againMost, linkRoom: linkAtStart,
-		reqs: map[uint32]*req{}, tokens: map[uint32]*req{}, purged: map[uint64]time.Duration{},
+		again: againMost,
+		reqs:  map[uint32]*req{}, tokens: map[uint32]*req{}, purged: map[uint64]time.Duration{},
 		purgedAll: map[uint32]time.Duration{}, asks: NewRing(loadWidth, 2*loadBuckets)}
 	d.identity = s.Seed ^ uint64(s.Me)<<48
 	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
@@ -29,6 +29,7 @@
 		send := time.Duration(firstSend * float64(v.Aim))
 		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: firstDev, send: send, least: send})
 	}
+	d.linkRoom = linkAtStart * max(partAtStart, 1/d.set.here)
 	f.After(period, 0)
 	return d
 }
@@ -205,7 +206,7 @@
 // meet makes the record of a machine listed for the first time.
 func (d *Director) meet(id uint32) *node {
 	n := &node{id: id, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
-		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart,
+		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart * max(partAtStart, 1/d.set.here),
 		listed: math.MinInt64}
 	d.nodes[id], d.met = n, append(d.met, n)
 	return n
@@ -231,6 +232,36 @@
 	slices.SortFunc(d.parents, byID)
 }
 
+// move makes every change of a req's state.
+func (d *Director) move(now time.Duration, r *req, to state) {
+	if r.state == queued {
+		r.part.behind = slices.DeleteFunc(r.part.behind, func(q *req) bool { return q == r })
+	}
+	r.state = to
+	switch to {
+	case queued:
+		r.part.behind = append(r.part.behind, r)
+		d.front.After(r.came+r.v.Aim-now, r.token)
+	case recalled, ended:
+		for _, x := range r.sent {
+			if !x.over && d.set.mayCancel {
+				d.front.Cancel(r.id, x.number)
+			}
+		}
+		if to == ended {
+			delete(d.tokens, r.token)
+			d.drop(r)
+		}
+	}
+}
+
+// Left tells that the client has gone.
+func (d *Director) Left(now time.Duration, id uint32) {
+	if r := d.reqs[id]; r != nil && r.state != ended {
+		d.move(now, r, ended)
+	}
+}
+
 // land takes a dispatch that has ended off the books.
 func (d *Director) land(x *dispatch) {
 	x.over = true
@@ -248,6 +279,6 @@
 
 // alive notes a sign of life.
 func (n *node) alive(now time.Duration) {
-	n.late, n.lived = 0, now
+	n.late, n.lived, n.trial = 0, now, false
 	n.ok.Add(now, 1)
 }
--- a/control/types.go
+++ b/control/types.go
@@ -178,6 +178,7 @@
 	wiped      time.Duration // copies seen before this are gone
 	out        int           // dispatches of ours that it holds
 	room       float64       // most of them, by how timely its answers are
+	trial      bool          // set aside, and no answer since
 	late       int           // overdue since its last sign of life
 	lived      time.Duration // when that was
 	failed     time.Duration // its last failure: those of one instant count once
