An answer long overdue at a machine that answers others is lost: sent again, no crowding

A dispatch three times as long out as its overdue time, at a machine that answered others since, is withdrawn and sent again, to the same cache too; while more than 5% are lost what is withdrawn says nothing of crowding. Guards links that lose answers, whatever the cause; harms where a few answers take far longer than all seen so far.

--- a/control/control.go
+++ b/control/control.go
@@ -43,9 +43,11 @@
 	mostSlack   = 2    // a tighter one less, a looser one up to this multiple
 
 	overhead  = 100 * time.Millisecond  // ways and handshakes, on top of sending
-	waitDevs  = 4                       // overdue: this many mean deviations over the mean,
+	waitDevs  = 4.0                     // overdue: this many mean deviations over the mean,
 	leastWait = 400 * time.Millisecond  // never before this, as pauses are shorter,
 	mostWait  = 2500 * time.Millisecond // and after this in any case
+	lossy     = 0.05                    // share of answers of live machines that never come: more is no chance
+	lostAfter = 3                       // times as long as until overdue, an answer is taken to be lost
 	silentAt  = 3                       // overdue since the last sign of life: no chance any more
 	badAt     = 3                       // failures that are not chance
 	badOver   = 0.3                     // share of failures above the fleet's median
@@ -173,10 +175,7 @@
 	}
 	var second *node
 	try := func(c *node) bool {
-		if c == nil || !d.budget(now, c) || !r.allowed(now, c) {
-			return false
-		}
-		if c.aside > now || r.tried(c) {
+		if c == nil || c.aside > now || r.tried(c) || !d.budget(now, c) || !r.allowed(now, c) {
 			return false
 		}
 		// By the part, not by chance: what goes elsewhere goes there from all directors, and is filled there once.
@@ -280,9 +279,6 @@
 		}
 		fit = ready
 	}
-	if len(fit) == 1 && !held && d.origin != nil && d.origin.out < fit[0].out/2 {
-		return d.origin, false // guards one parent alone from carrying what two did
-	}
 	slices.SortFunc(fit, byHash(r.obj.id))
 	slices.SortStableFunc(fit, func(a, b *node) int { return a.hops - b.hops }) // bytes count again for each hub
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
@@ -376,6 +372,7 @@
 	}
 	d.front.Dispatch(r.id, o)
 	d.front.After(x.overdue-now, r.token)
+	d.front.After(lostAfter*(x.overdue-now), r.token)
 	d.move(now, r, out)
 }
 
@@ -451,6 +448,7 @@
 	fillBad := o.Fill == SourceRefused || o.Fill == SourceUnreached || o.Fill == OriginFailed
 	switch {
 	case o.Ending == Done:
+		d.lossShare -= d.lossShare * settle
 		c.alive(now)
 		c.load.Add(now, 1)
 		c.work.Add(now, r.v.send.Seconds())
@@ -540,7 +538,8 @@
 		}
 	}
 	switch {
-	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late):
+	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late), x.lost,
+		o.Ending == Cancelled && d.lossShare > lossy:
 	case x.expectHit || o.Fill == Hit:
 		d.adapt(&x.node.room, x.node.out, good, blame)
 	case x.node.role == cache && float64(x.node.out) > x.node.room/2:
@@ -653,6 +652,9 @@
 			if !x.over && !x.late && now >= x.overdue {
 				d.overdue(now, x)
 			}
+			if !x.over && !x.lost && now >= x.at+lostAfter*(x.overdue-x.at) {
+				d.missing(now, x)
+			}
 		}
 	}
 }
@@ -674,6 +676,18 @@
 	d.release(now, x)
 }
 
+// missing takes an answer that is long overdue from a machine that answered others since to be lost: sent again,
+// no sign of crowding. Guards links that lose answers. Harms where some take far longer than all seen so far.
+func (d *Director) missing(now time.Duration, x *dispatch) {
+	if x.lost = x.node.lived > x.at; !x.lost {
+		return
+	}
+	d.lossShare += (1 - d.lossShare) * settle
+	if x.r.state == out && x.r.v.Effect == Replayable && d.set.mayCancel {
+		d.move(now, x.r, recalled)
+	}
+}
+
 // release lets the reqs that wait behind a fill go on once it has ended or is overdue.
 func (d *Director) release(now time.Duration, x *dispatch) {
 	if p := x.r.part; p.filling == x {
--- a/control/state.go
+++ b/control/state.go
@@ -39,7 +39,7 @@
 
 func (r *req) tried(c *node) bool {
 	for _, x := range r.sent {
-		if x.node == c && x.source != c {
+		if x.node == c && x.source != c && !x.lost {
 			return true
 		}
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -259,6 +259,7 @@
 	at, overdue time.Duration
 	expectHit   bool
 	late, over  bool
+	lost        bool // overdue while its machine answered others
 }
 
 type vhost struct {
@@ -290,6 +291,7 @@
 	fills             int                      // dispatches out that probably need the link in
 	linkRoom          float64                  // most of them
 	lateShare         float64                  // of what was answered lately, smoothed
+	lossShare         float64                  // of answers of live machines, those that never came, smoothed
 	again             float64                  // further dispatches saved up
 	asks              Ring
 	counter, identity uint64
