A cache whose hits take far longer than its least strained peer's is crowded

Cause: at full size one cache of a location, home of a hot object, held 20 and more reqs for ten seconds (reports and the times of its answers agree) while its peers held 2; own dispatches out there were 0 or 1, so the crowd guard saw nothing. Now each cache's strain is smoothed from how long its hits take against sending alone; over 1.7 times the least strained peer's it goes second. It fades over 60 answers of the director's, so that a director that sees little remembers longer. Late fills are a cache's when it is strained, no longer when much of ours is out there.

--- a/control/control.go
+++ b/control/control.go
@@ -25,9 +25,13 @@
 	purgeMargin = time.Second            // a purge is kept in mind this much longer than it lasts
 
 	// Links carry few transfers at once: a cache a little fuller than its peers is late already.
-	crowdTimes = 1.25 // crowded: over this multiple of the mean dispatches out,
-	crowdPlus  = 1    // and one more, which may be chance,
-	holderPlus = 2    // and two more where the part is, since elsewhere it must be filled
+	crowdTimes  = 1.25 // crowded: over this multiple of the mean dispatches out,
+	crowdPlus   = 1    // and one more, which may be chance,
+	crowdStrain = 1.7  // or whose answers take this multiple of its least strained peer's;
+	strainGain  = 0.6  // one hit tells most, since a director of many sees few,
+	strainMost  = 8.0  // a single one not all,
+	strainFades = 60.0 // and half is forgotten in so many answers of any cache
+	holderPlus  = 2    // and two more where the part is, since elsewhere it must be filled
 
 	// Rooms are those of a location's only director; each of many has its part, below one a chance.
 	roomAtStart = 12   // dispatches out at a machine, until its answers tell more
@@ -169,9 +173,10 @@
 // guard passes the pick if it is fit, else the next in the object's order. It acts when the pick is set
 // aside, on trial and full, cold and out of budget, crowded, or failed this req before.
 func (d *Director) guard(now time.Duration, r *req, pick *node, order []*node) *node {
-	mean := 0.0
+	mean, least := 0.0, math.Inf(1)
 	for _, c := range order {
 		mean += float64(c.out) / float64(len(order))
+		least = min(least, d.strain(c))
 	}
 	var second *node
 	try := func(c *node) bool {
@@ -186,7 +191,7 @@
 		if d.holds(now, r, c) {
 			bound += holderPlus
 		}
-		if float64(c.out) > bound {
+		if float64(c.out) > bound || d.strain(c) > crowdStrain*least {
 			if second == nil || c.out < second.out {
 				second = c
 			}
@@ -292,6 +297,13 @@
 	return float64(n.wait) * math.Exp2(-float64(now-n.waitAt)/float64(restless))
 }
 
+// strain is how many times as long as sending alone a cache's hits took lately; unrenewed it fades. It shows
+// what other directors send there, as dispatches out do not. Guards against one cache jammed among idle ones by
+// a hot object, slowness or a cold start. Harms where its like differ much in pace.
+func (d *Director) strain(n *node) float64 {
+	return 1 + n.strained*math.Exp2(-(d.answers-n.strainAt)/strainFades)
+}
+
 // age is the oldest copy that will do: none from before a purge that was heard of. It is never 0 then,
 // which would mean any. A further dispatch takes a copy past its fresh time rather than none.
 func (d *Director) age(now time.Duration, r *req) time.Duration {
@@ -320,7 +332,7 @@
 
 // budget guards a cold machine from being pushed over by all directors together. Each has a credit there that
 // grows by its own part: what its like took of it when warm, or its share of the least that a machine takes.
-// It may be overdrawn by one dispatch, and starts overdrawn by chance, so that many with little do not come at once.
+// It may be overdrawn by one dispatch, and starts so by chance: many with little must not come at once.
 func (d *Director) budget(now time.Duration, n *node) bool {
 	if n.role == origin || d.warm(now, n) {
 		return true
@@ -495,12 +507,17 @@
 	}
 }
 
-// fit smooths sending times and how far the time taken lies from the time expected.
+// fit smooths sending times and how far the time taken lies from the time expected, of the cache as well.
 func (x *dispatch) fit(d *Director, o Outcome) {
 	r, v := x.r, x.r.v
 	ratio := float64(o.Took) / float64(d.expected(r)+overhead)
 	v.dev += (math.Abs(ratio-v.mean) - v.dev) * settle
 	v.mean += (ratio - v.mean) * settle
+	d.answers++
+	if s := d.strain(x.node); o.Fill == Hit || ratio < s { // a slow fill may be the link's
+		x.node.strained = max(0, s-1+(min(strainMost, ratio)-s)*strainGain)
+		x.node.strainAt = d.answers
+	}
 	if r.kb > 0 && d.set.kbPerMilli > 0 {
 		v.send += time.Duration(float64(d.expected(r)-v.send) * settle)
 	} else if o.Fill == Hit || o.Fill == Untold || v.Write {
@@ -538,12 +555,12 @@
 		}
 	}
 	switch {
-	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && !(o.Ending == Cancelled && x.late), x.lost,
-		o.Ending == Cancelled && d.lossShare > lossy:
+	case x.lost, o.Ending == Cancelled && (!x.late || d.lossShare > lossy):
+	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && o.Ending != Cancelled:
 	case x.expectHit || o.Fill == Hit:
 		d.adapt(&x.node.room, x.node.out, good, blame)
-	case x.node.role == cache && float64(x.node.out) > x.node.room/2:
-		d.adapt(&x.node.room, x.node.out, good, blame) // a pressed cache is late whatever the link does
+	case x.node.role == cache && d.strain(x.node) > crowdStrain:
+		d.adapt(&x.node.room, x.node.out, good, blame) // a strained cache is late whatever the link does
 	default:
 		d.adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
 		d.adapt(&d.linkRoom, d.fills, good, blame)
@@ -676,8 +693,8 @@
 	d.release(now, x)
 }
 
-// missing takes an answer that is long overdue from a machine that answered others since to be lost: sent again,
-// no sign of crowding. Guards links that lose answers. Harms where some take far longer than all seen so far.
+// missing takes an answer long overdue from a machine that answered others since to be lost: sent again, no
+// sign of crowding. Guards links that lose answers. Harms where some take far longer than all seen so far.
 func (d *Director) missing(now time.Duration, x *dispatch) {
 	if x.lost = x.node.lived > x.at; !x.lost {
 		return
@@ -688,16 +705,6 @@
 	}
 }
 
-// release lets the reqs that wait behind a fill go on once it has ended or is overdue.
-func (d *Director) release(now time.Duration, x *dispatch) {
-	if p := x.r.part; p.filling == x {
-		p.filling = nil
-		for _, q := range slices.Clone(p.behind) {
-			d.route(now, q)
-		}
-	}
-}
-
 // diffuse shifts hot load between each home and the location's other caches by the gaps of L.
 func (d *Director) diffuse(now time.Duration) {
 	d.forget(now)
@@ -756,15 +763,6 @@
 	}
 }
 
-// measure renews what warm machines take of us; it stands while one gives no sign of life.
-func (d *Director) measure(now time.Duration) {
-	for _, n := range slices.Concat(d.caches, d.parents) {
-		if d.warm(now, n) && now-n.lived < 2*period {
-			n.take = max(n.take*takeFades, n.work.Rate(now))
-		}
-	}
-}
-
 // List takes discovery's news. What drains or is gone is left out from here on, as a source too.
 func (d *Director) List(now time.Duration, list []Listed, whole bool) {
 	if whole {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -288,6 +288,35 @@
 	}
 }
 
+// A cache jammed by what other directors send is told by how long its hits take, though little of ours is out there.
+func TestStrainedCacheIsPassedOver(t *testing.T) {
+	w := newWorld(1, 4)
+	w.manual = true
+	home := uint32(0)
+	for round := range 40 {
+		id := w.ask(1, 7, 0)
+		if home == 0 {
+			home = w.last.Node
+		}
+		took := 30 * ms
+		if w.last.Node == home {
+			took = 600 * ms
+		}
+		w.run(w.now + took)
+		w.end(id, Outcome{Fill: Hit})
+		if round > 30 && w.asks[id].tries[0].node == home {
+			t.Fatalf("round %d still goes to the jammed cache", round)
+		}
+		for obj := range uint64(4) { // the others answer in time
+			if id := w.ask(1, 50+obj, 0); w.asks[id].tries[0].node != home {
+				w.run(w.now + 30*ms)
+				w.end(id, Outcome{Fill: Hit})
+			}
+		}
+	}
+	w.sound(t)
+}
+
 // A cache that refused connections is cold when it comes back, though the list has not told yet.
 func TestRefusedConnectionMeansColdAfterwards(t *testing.T) {
 	w := newWorld(1, 2)
--- a/control/state.go
+++ b/control/state.go
@@ -206,8 +206,8 @@
 // meet makes the record of a machine listed for the first time.
 func (d *Director) meet(id uint32) *node {
 	n := &node{id: id, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
-		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets), room: roomAtStart * max(partAtStart, 1/d.set.here),
-		listed: math.MinInt64}
+		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets),
+		room: roomAtStart * max(partAtStart, 1/d.set.here), listed: math.MinInt64}
 	d.nodes[id], d.met = n, append(d.met, n)
 	return n
 }
@@ -262,6 +262,25 @@
 	}
 }
 
+// release lets the reqs that wait behind a fill go on once it has ended or is overdue.
+func (d *Director) release(now time.Duration, x *dispatch) {
+	if p := x.r.part; p.filling == x {
+		p.filling = nil
+		for _, q := range slices.Clone(p.behind) {
+			d.route(now, q)
+		}
+	}
+}
+
+// measure renews what warm machines take of us; it stands while one gives no sign of life.
+func (d *Director) measure(now time.Duration) {
+	for _, n := range slices.Concat(d.caches, d.parents) {
+		if d.warm(now, n) && now-n.lived < 2*period {
+			n.take = max(n.take*takeFades, n.work.Rate(now))
+		}
+	}
+}
+
 // land takes a dispatch that has ended off the books.
 func (d *Director) land(x *dispatch) {
 	x.over = true
--- a/control/types.go
+++ b/control/types.go
@@ -185,6 +185,8 @@
 	aside      time.Duration // set aside until then
 	wait       time.Duration // source: smoothed fill latency
 	waitAt     time.Duration
+	strained   float64 // how much longer than sending alone its answers took, smoothed
+	strainAt   float64 // and at which answer of the director's
 	take       float64 // the most sending time a second that it took of us lately, fading
 	load       Ring    // reqs served: L
 	work       Ring    // sending time served
@@ -291,6 +293,7 @@
 	fills             int                      // dispatches out that probably need the link in
 	linkRoom          float64                  // most of them
 	lateShare         float64                  // of what was answered lately, smoothed
+	answers           float64                  // had so far
 	lossShare         float64                  // of answers of live machines, those that never came, smoothed
 	again             float64                  // further dispatches saved up
 	asks              Ring
