--- a/control/control.go
+++ b/control/control.go
@@ -284,6 +284,9 @@
 		}
 		fit = ready
 	}
+	if len(fit) == 1 && !held && d.origin != nil && d.origin.out < fit[0].out/2 {
+		return d.origin, false // guards one parent alone from carrying what two did
+	}
 	slices.SortFunc(fit, byHash(r.obj.id))
 	slices.SortStableFunc(fit, func(a, b *node) int { return a.hops - b.hops }) // bytes count again for each hub
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -173,6 +173,22 @@
 	w.sound(t)
 }
 
+// With one parent out the other must not carry all its fills: the origin takes a share.
+func TestOneParentAloneSharesWithTheOrigin(t *testing.T) {
+	w := newWorld(1, 4)
+	w.manual = true
+	w.tell(false, Listed{Node: 3, State: Gone, Kind: 1})
+	from := map[uint32]int{}
+	for obj := range uint64(12) {
+		w.ask(0, 900+obj, 0)
+		from[w.last.Source]++
+	}
+	if from[1] < 2 || from[2] <= from[1] {
+		t.Errorf("%d fills from the origin, %d from the parent left", from[1], from[2])
+	}
+	w.sound(t)
+}
+
 func TestPurgeJustHeardLimitsTheAge(t *testing.T) {
 	w := newWorld(1, 3)
 	w.manual = true
