--- a/control/control.go
+++ b/control/control.go
@@ -15,7 +15,8 @@
 	period      = 500 * time.Millisecond // of diffusion: some reqs of each cache fall into one
 	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long against
 	loadBuckets = 4                      // single reqs, short against a hot object's stay
-	hotShare    = 0.04                   // of a director's reqs: one busy viewer is not hot yet
+	hotShare    = 0.04                   // of a director's reqs, and
+	leastHot    = 8                      // reqs for it meanwhile: one viewer of an object in parts makes as many
 	noiseTimes  = 2                      // deviations of the counts that a gap must exceed to shift
 	leastAway   = 0.25                   // of a hot object, outside its home whatever the gap
 	leastShare  = 0.01                   // a share below it goes back
@@ -715,7 +716,7 @@
 	total := d.asks.Sum(now)
 	alpha := 1 / float64(2+len(d.caches)-1)
 	for _, o := range d.table {
-		if hot := o.asks.Sum(now) > max(3, hotShare*total); !hot || len(d.order(o)) < 2 {
+		if hot := o.asks.Sum(now) > max(leastHot, hotShare*total); !hot || len(d.order(o)) < 2 {
 			o.away = nil
 		} else if len(o.away) == 0 {
 			o.away = []share{{o.order[1], leastAway}}
