--- a/control/control.go
+++ b/control/control.go
@@ -472,10 +472,7 @@
 		if o.Fill == Filled || o.Fill == FilledByOrigin {
 			s.alive(now)
 			s.work.Add(now, r.v.send.Seconds())
-			wait := o.Waited
-			if wait == 0 {
-				wait = max(o.Took-d.expected(r), time.Millisecond)
-			}
+			wait := max(o.Waited, o.Took-d.expected(r), time.Millisecond) // a slow link shows after the first byte
 			s.wait += time.Duration(float64(wait-s.wait) * 2 * settle)
 			s.waitAt = now
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -142,6 +142,30 @@
 	w.sound(t)
 }
 
+// A parent whose link is slow sends its first byte in time: the whole fill must tell.
+func TestSlowLinkOfAParentCountsAsFillLatency(t *testing.T) {
+	w := newWorld(1, 3)
+	w.manual = true
+	for obj := range uint64(120) {
+		id := w.ask(0, 2000+obj, 0)
+		took := 250 * ms
+		if w.last.Source == 2 {
+			took = 380 * ms
+		}
+		w.run(w.now + took)
+		w.end(id, Outcome{Fill: Filled, Waited: 20 * ms})
+	}
+	from := map[uint32]int{}
+	for obj := range uint64(8) {
+		w.ask(0, 4000+obj, 0)
+		from[w.last.Source]++
+	}
+	if from[2] > 0 || from[3] == 0 {
+		t.Errorf("%d fills from the slow parent, %d from the other", from[2], from[3])
+	}
+	w.sound(t)
+}
+
 // Bytes cross the links once more for each hub, so a parent of the own hub comes first unless it is clearly slower.
 func TestNearParentComesFirst(t *testing.T) {
 	w := &world{rng: rand.New(rand.NewSource(1)), set: settings0(), asks: map[uint32]*asked{}, list: map[uint32]Listed{}, manual: true}
