--- a/control/world_test.go
+++ b/control/world_test.go
@@ -86,6 +86,33 @@
 	return w
 }
 
+// calm is a world whose outcomes come from the test.
+func calm(caches int) *world {
+	w := newWorld(1, caches)
+	w.manual = true
+	return w
+}
+
+// serve asks, lets the req take a while and ends its last dispatch, if there is one.
+func (w *world) serve(vhost int, obj uint64, took time.Duration, o Outcome) *asked {
+	a := w.asks[w.ask(vhost, obj, 0)]
+	w.run(w.now + took)
+	if o.Dispatch = len(a.tries) - 1; o.Dispatch >= 0 {
+		w.end(a.ID, o)
+	}
+	return a
+}
+
+// sources counts who is to fill each of some new objects.
+func (w *world) sources(from, count uint64) map[uint32]int {
+	n := map[uint32]int{}
+	for obj := range count {
+		w.ask(0, from+obj, 0)
+		n[w.last.Source]++
+	}
+	return n
+}
+
 func (w *world) tell(whole bool, entries ...Listed) {
 	if whole {
 		w.list = map[uint32]Listed{}
