--- a/control/control.go
+++ b/control/control.go
@@ -302,7 +302,7 @@
 }
 
 // strain is how many times as long as sending alone a cache's hits took lately; unrenewed it fades. It shows
-// what other directors send there, as dispatches out do not. Guards against one cache jammed among idle ones by
+// what other directors send there, as dispatches out do not. Guards against a cache jammed among idle ones by
 // a hot object, slowness or a cold start. Harms where its like differ much in pace.
 func (d *Director) strain(n *node) float64 {
 	return 1 + n.strained*math.Exp2(-(d.answers-n.strainAt)/strainFades)
@@ -472,7 +472,7 @@
 		if o.Fill == Filled || o.Fill == FilledByOrigin {
 			s.alive(now)
 			s.work.Add(now, r.v.send.Seconds())
-			wait := max(o.Waited, o.Took-d.expected(r), time.Millisecond) // a slow link shows after the first byte
+			wait := max(o.Waited, o.Took-d.expected(r), time.Millisecond) // a slow link shows late
 			s.wait += time.Duration(float64(wait-s.wait) * 2 * settle)
 			s.waitAt = now
 		}
@@ -582,6 +582,9 @@
 	return min(r.v.Timeout, r.v.Aim+time.Duration(r.v.Stretch*float64(d.expected(r))))
 }
 
+// atStart is this director's part of a starting room.
+func (d *Director) atStart(room float64) float64 { return room * max(partAtStart, 1/d.set.here) }
+
 // adapt makes room for one more where answers come in time, quickly from little, and takes one away for
 // each that is late or turned away. Guards against overload, slow machines and a full link alike. Where many
 // directors share the machine each has a part of its room, and moves it by as much.
@@ -783,7 +786,7 @@
 		case l.Kind == d.set.parentKind:
 			n.hops = d.hops(l.Zone)
 			if n.role != parent {
-				n.role, n.room = parent, linkAtStart*max(partAtStart, 1/d.set.here)
+				n.role, n.room = parent, d.atStart(linkAtStart)
 			}
 		case l.Zone == d.set.zone:
 			n.role = cache
