--- a/control/control_test.go
+++ b/control/control_test.go
@@ -43,13 +43,11 @@
 			w.run(w.now + time.Duration(w.rng.Intn(80))*ms)
 		}
 		w.run(w.now + 10*time.Second)
+		w.blame(len(w.d.tokens)+len(w.d.outs)+len(w.d.reqs)+w.d.fills != 0, "%d reqs, %d dispatches, %d fills left over",
+			len(w.d.reqs), len(w.d.outs), w.d.fills)
 		if w.fault != "" {
 			t.Logf("seed %d: %s", seed, w.fault)
 		}
-		if len(w.d.tokens) != 0 || len(w.d.outs) != 0 || len(w.d.reqs) != 0 || w.d.fills != 0 {
-			t.Logf("seed %d: %d reqs, %d dispatches, %d fills left over", seed, len(w.d.reqs), len(w.d.outs), w.d.fills)
-			return false
-		}
 		return w.fault == ""
 	}
 	if err := quick.Check(day, &quick.Config{MaxCount: 60, Rand: rand.New(rand.NewSource(3))}); err != nil {
@@ -97,7 +95,8 @@
 }
 
 func TestHotObjectReachesTwoCaches(t *testing.T) {
-	w := newWorld(1, 3)
+	w := calm(t, 3)
+	w.manual = false
 	for i := range 120 {
 		w.ask(0, 9, uint32(i%12))
 		w.run(w.now + 20*ms)
@@ -135,9 +134,8 @@
 		w.run(w.now + map[uint32]time.Duration{2: 380 * ms, 3: 250 * ms}[w.last.Source])
 		w.end(a.ID, Outcome{Fill: Filled, Waited: 20 * ms})
 	}
-	if from := w.sources(4000, 8); from[2] > 0 || from[3] == 0 {
-		t.Errorf("fills by source %v, 2 is the slow one", from)
-	}
+	from := w.sources(4000, 8)
+	w.blame(from[2] > 0 || from[3] == 0, "fills by source %v, 2 is the slow one", from)
 }
 
 // Bytes cross the links once more for each hub, so a parent of the own hub comes first unless it is clearly slower.
@@ -147,9 +145,8 @@
 	w.d = Start(w.set, w)
 	w.tell(true, Listed{Node: 1, State: Ready, Kind: 2}, Listed{Node: 2, State: Ready, Kind: 1, Zone: 0},
 		Listed{Node: 3, State: Ready, Kind: 1, Zone: 2}, Listed{Node: 10, State: Ready, Zone: 1})
-	if from := w.sources(500, 20); from[3] > 0 {
-		t.Fatalf("fills by source %v, 3 is over another hub", from)
-	}
+	from := w.sources(500, 20)
+	w.blame(from[3] > 0, "fills by source %v, 3 is over another hub", from)
 }
 
 func TestUniquedKeepsToItsCellAndWindow(t *testing.T) {
@@ -157,9 +154,7 @@
 	for _, vhost := range []int{2, 3} { // uniqued, non-replayable
 		for _, wait := range []time.Duration{20 * ms, 200 * ms} { // the window is 150 ms
 			a := w.serve(vhost, 5, wait, Outcome{Ending: Failed})
-			if len(a.tries) > 1 != (vhost == 2 && wait < 150*ms) {
-				t.Errorf("vhost %d: %d dispatches after a failure at %v", vhost, len(a.tries), wait)
-			}
+			w.blame(len(a.tries) > 1 != (vhost == 2 && wait < 150*ms), "vhost %d: %d dispatches after a failure at %v", vhost, len(a.tries), wait)
 		}
 	}
 }
@@ -168,9 +163,8 @@
 func TestOneParentAloneSharesWithTheOrigin(t *testing.T) {
 	w := calm(t, 4)
 	w.tell(false, Listed{Node: 3, State: Gone, Kind: 1})
-	if from := w.sources(900, 12); from[1] < 2 || from[2] <= from[1] {
-		t.Errorf("%d fills from the origin, %d from the parent left", from[1], from[2])
-	}
+	from := w.sources(900, 12)
+	w.blame(from[1] < 2 || from[2] <= from[1], "%d fills from the origin, %d from the parent left", from[1], from[2])
 }
 
 func TestPurgeJustHeardLimitsTheAge(t *testing.T) {
@@ -188,9 +182,7 @@
 		w.tell(false, Listed{Node: 10, State: Draining, Zone: 1}, Listed{Node: 11, State: Gone, Zone: 1})
 		for vhost := range w.set.Vhosts {
 			a := w.asks[w.ask(vhost, 5, 0)]
-			if !a.answered && (len(a.tries) == 0 || a.tries[0].node > 3) {
-				t.Errorf("vhost %d: neither answered at once nor sent past the caches", vhost)
-			}
+			w.blame(!a.answered && (len(a.tries) == 0 || a.tries[0].node > 3), "vhost %d: neither answered at once nor sent past the caches", vhost)
 		}
 		if w.run(10 * time.Second); w.fault != "" {
 			t.Error(w.fault)
@@ -277,9 +269,8 @@
 	w := calm(t, 4)
 	jammed := w.serve(1, 7, 600*ms, Outcome{Fill: Hit}).tries[0].node
 	for range 6 {
-		if a := w.serve(1, 7, 20*ms, Outcome{Fill: Hit}); a.tries[0].node == jammed {
-			t.Error("a req goes to the jammed cache")
-		}
+		a := w.serve(1, 7, 20*ms, Outcome{Fill: Hit})
+		w.blame(a.tries[0].node == jammed, "a req goes to the jammed cache")
 	}
 }
 
@@ -328,9 +319,8 @@
 			}
 			w.end(a.ID, Outcome{Dispatch: len(a.tries) - 1, Fill: Hit})
 		}
-		if slices.ContainsFunc(w.d.caches, func(c *node) bool { return c.aside > w.now }) {
-			t.Fatalf("a cache is set aside in round %d", round)
-		}
+		aside := func(c *node) bool { return c.aside > w.now }
+		w.blame(slices.ContainsFunc(w.d.caches, aside), "a cache is set aside in round %d", round)
 	}
 }
 
@@ -340,9 +330,8 @@
 	for range 20 {
 		w.serve(2, 9, 40*ms, Outcome{Fill: FilledByOrigin})
 	}
-	if got := w.d.vhosts[2].least; got > 80*ms {
-		t.Errorf("writes of 40 ms are taken for %v", got)
-	}
+	got := w.d.vhosts[2].least
+	w.blame(got > 80*ms, "writes of 40 ms are taken for %v", got)
 }
 
 // A cache that takes reqs and answers none loses them to others well before any client timeout.
@@ -356,9 +345,7 @@
 		w.run(w.now + 10*ms)
 		done = w.endAll(60*ms, hung, Filled)
 	}
-	if !done {
-		t.Error("reqs are still at the silent cache")
-	}
+	w.blame(!done, "reqs are still at the silent cache")
 }
 
 // A rush on a new object fills it once for each part, not once for each req.
@@ -367,9 +354,7 @@
 	for range 11 {
 		w.ask(0, 77, 0)
 	}
-	if w.d.fills != 1 {
-		t.Errorf("%d fills of one part are out", w.d.fills)
-	}
+	w.blame(w.d.fills != 1, "%d fills of one part are out", w.d.fills)
 	w.now += 80 * ms
 	w.end(1, Outcome{Fill: Filled})
 	if w.d.fills > 1 { // one more where the cache that has it is crowded
@@ -380,7 +365,5 @@
 		w.now += 50 * ms
 		done = w.endAll(0, 0, Hit)
 	}
-	if !done {
-		t.Error("reqs were never released")
-	}
+	w.blame(!done, "reqs were never released")
 }
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -138,8 +138,8 @@
 	w.d.List(w.now, entries, whole)
 }
 
-func (w *world) blame(format string, args ...any) {
-	if w.fault == "" {
+func (w *world) blame(broken bool, format string, args ...any) {
+	if broken && w.fault == "" {
 		w.fault = fmt.Sprintf("%v: ", w.now) + fmt.Sprintf(format, args...)
 	}
 }
@@ -194,26 +194,20 @@
 	t.over = true
 	o.Took = w.now - t.at
 	t.neverRan = o.Ending == Full || o.Ending == NoConnect || o.Ending == Moot || o.Ending == Miss
-	if o.Ending == Done && !a.answered {
-		a.answered = true
-	}
+	a.answered = a.answered || o.Ending == Done
 	o.Final = a.answered
 	w.d.Outcome(w.now, id, o)
 }
 
 func (w *world) late() {
 	for id, a := range w.asks {
-		if !a.answered && w.now > a.Deadline {
-			w.blame("rule 1: req %d has no answer at its client timeout %v", id, a.Deadline)
-		}
+		w.blame(!a.answered && w.now > a.Deadline, "rule 1: req %d has no answer at its client timeout %v", id, a.Deadline)
 	}
 }
 
 func (w *world) open(id uint32) *asked {
 	a := w.asks[id]
-	if a.answered {
-		w.blame("rule 1: req %d is acted on after its final answer", id)
-	}
+	w.blame(a.answered, "rule 1: req %d is acted on after its final answer", id)
 	return a
 }
 
@@ -221,45 +215,32 @@
 	a := w.open(id)
 	v := w.set.Vhosts[a.Vhost]
 	w.last = o
-	if len(a.tries) >= w.set.MaxDispatches {
-		w.blame("req %d is dispatched too often", id)
-	}
+	w.blame(len(a.tries) >= w.set.MaxDispatches, "req %d is dispatched too often", id)
 	for _, t := range a.tries {
-		if !t.over {
-			w.blame("rule 2: req %d has two dispatches out", id)
-		}
+		w.blame(!t.over, "rule 2: req %d has two dispatches out", id)
 		if t.over && t.neverRan {
 			continue
 		}
-		switch {
-		case v.Effect == NonReplayable:
-			w.blame("rule 2: non-replayable req %d is sent again", id)
-		case v.Effect == Uniqued && (w.list[t.node].Cell != w.list[o.Node].Cell || w.now >= t.at+v.Window):
-			w.blame("rule 2: uniqued req %d is sent out of its group or window", id)
-		}
+		out := w.list[t.node].Cell != w.list[o.Node].Cell || w.now >= t.at+v.Window
+		w.blame(v.Effect == NonReplayable, "rule 2: non-replayable req %d is sent again", id)
+		w.blame(v.Effect == Uniqued && out, "rule 2: uniqued req %d is sent out of its group or window", id)
 	}
 	for _, n := range []uint32{o.Node, o.Source} {
-		if w.list[n].State != Ready {
-			w.blame("rule 3: %d is used while not ready", n)
-		}
+		w.blame(w.list[n].State != Ready, "rule 3: %d is used while not ready", n)
 		if l := w.list[n]; l.Booted && w.now-l.Boot < 15*time.Second {
 			w.cold(l, v)
 		}
 	}
-	if l := w.list[o.Node]; l.Kind != 0 && (!w.set.Direct || o.Source != o.Node && o.Source != 1) || l.Kind == 0 && l.Zone != 1 {
-		w.blame("%d with source %d is no cache of the location, nor a legal way past them", o.Node, o.Source)
-	}
-	if v.Write && (o.Rank != 0 || w.list[o.Source].Kind == 0) {
-		w.blame("write %d is kept or does not reach the origin", id)
-	}
-	if most := v.Fresh + v.Grace; v.Fresh > 0 && o.Age > most {
-		w.blame("age %v over %v", o.Age, most)
-	}
+	l := w.list[o.Node]
+	w.blame(l.Kind == 0 && l.Zone != 1, "%d is no cache of the location", o.Node)
+	w.blame(l.Kind != 0 && (!w.set.Direct || o.Source != o.Node && o.Source != 1), "no legal way past by %d from %d", o.Node, o.Source)
+	w.blame(v.Write && (o.Rank != 0 || w.list[o.Source].Kind == 0), "write %d is kept or does not reach the origin", id)
+	w.blame(v.Fresh > 0 && o.Age > v.Fresh+v.Grace, "age %v of a vhost that keeps fresh for %v", o.Age, v.Fresh)
 	for _, p := range w.purges {
 		if (p.obj == a.Obj || p.obj == 0 && p.group == a.Group) && w.now-p.at < w.set.PurgeSettles && !v.Write {
-			if most := w.now - p.at; v.Fresh == 0 && o.Age == 0 || o.Age > max(most, time.Microsecond) || o.Age == 0 && v.Fresh > most {
-				w.blame("rule 5: age %v will do %v after a purge", o.Age, most)
-			}
+			most := w.now - p.at
+			w.blame(o.Age == 0 && (v.Fresh == 0 || v.Fresh > most) || o.Age > max(most, time.Microsecond),
+				"rule 5: age %v will do %v after a purge", o.Age, most)
 		}
 	}
 	a.tries = append(a.tries, &try{node: o.Node, at: w.now})
@@ -282,9 +263,7 @@
 		}
 	}
 	part := k.Floor + (1-k.Floor)*float64(w.now-l.Boot)/float64(k.Ramp)
-	if sum > 0.1+k.Multiple*part*4*k.Window.Seconds() {
-		w.blame("rule 4: cold %d is sent %.2f s of work in its window", l.Node, sum)
-	}
+	w.blame(sum > 0.1+k.Multiple*part*4*k.Window.Seconds(), "rule 4: cold %d is sent %.2f s of work in its window", l.Node, sum)
 }
 
 func (w *world) answer(a *asked, n int) {
@@ -303,10 +282,7 @@
 }
 
 func (w *world) Cancel(id uint32, n int) {
-	if n >= len(w.asks[id].tries) {
-		w.blame("cancel of a dispatch never made")
-		return
-	}
+	w.blame(n >= len(w.asks[id].tries), "cancel of a dispatch never made")
 	w.due = append(w.due, pending{at: w.now + ms, id: id, o: &Outcome{Dispatch: n, Ending: Cancelled}})
 }
 
@@ -315,13 +291,9 @@
 	a.answered = true
 	for _, t := range a.tries {
 		v := w.set.Vhosts[a.Vhost]
-		if !(t.over && t.neverRan) && v.Effect != Replayable && !(v.Effect == Uniqued && v.Group == GroupAll) {
-			w.blame("rule 2: req %d is denied though it may have run", id)
-		}
-	}
-	if back > w.set.MaxComeBack {
-		w.blame("asked to come back after %v", back)
+		w.blame(!(t.over && t.neverRan) && v.Effect != Replayable && !(v.Effect == Uniqued && v.Group == GroupAll), "rule 2: req %d is denied though it may have run", id)
 	}
+	w.blame(back > w.set.MaxComeBack, "asked to come back after %v", back)
 }
 
 func (w *world) Abort(id uint32) { w.open(id).answered = true }
