--- a/wire/settings.go
+++ b/config/settings.go
@@ -1,63 +1,27 @@
-package wire
+package config
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
-	"time"
 
 	"indigochute.example/indigochute/control"
 )
 
-// pairs is the path=value text of an instance's start; keys not asked for are ignored.
-type pairs struct {
-	m   map[string]string
-	err error
-}
-
-func (p *pairs) num(key string) float64 {
-	v, ok := p.m[key]
-	if !ok || v == "" {
-		return 0
-	}
-	f, err := strconv.ParseFloat(v, 64)
-	if err != nil && p.err == nil {
-		p.err = fmt.Errorf("%s: %q is no number", key, v)
-	}
-	return f
-}
-
-func (p *pairs) whole(key string) int            { return int(p.num(key)) }
-func (p *pairs) truth(key string) bool           { return p.m[key] == "true" }
-func (p *pairs) micros(key string) time.Duration { return time.Duration(p.num(key)) * time.Microsecond }
-
-// item is the i-th value of a plain list; what a short list lacks is absent.
-func (p *pairs) item(key string, i int) *pairs {
-	items := strings.Split(p.m[key], ",")
-	one := &pairs{m: map[string]string{}}
-	if i < len(items) {
-		one.m[""] = items[i]
-	}
-	return one
-}
-
-func (p *pairs) wholes(key string) (list []int) {
-	if p.m[key] == "" {
-		return nil
-	}
-	for i := range strings.Split(p.m[key], ",") {
-		list = append(list, p.item(key, i).whole(""))
-	}
-	return list
-}
-
-func readSettings(info string) (control.Settings, error) {
+// Text reads the settings from the lines of path=value that the bench hands over; what is absent there
+// has its zero value.
+func Text(info string) (control.Settings, error) {
 	p := &pairs{m: map[string]string{}}
 	for _, line := range strings.Split(info, "\n") {
 		if key, value, ok := strings.Cut(strings.TrimSpace(line), "="); ok {
 			p.m[key] = value
 		}
 	}
+	s := settings(p)
+	return s, p.err
+}
+
+// settings turns pairs from either source into what the module is started with.
+func settings(p *pairs) control.Settings {
 	s := control.Settings{
 		Me:            p.whole("me"),
 		Zone:          p.whole("zone"),
@@ -86,7 +50,8 @@
 	}
 	count := p.whole("classes.count")
 	if count < 0 || count > len(p.m) {
-		return s, fmt.Errorf("impossible classes.count %d", count)
+		p.fail("classes.count", "%d is impossible", count)
+		count = 0
 	}
 	for i := range count {
 		at := fmt.Sprintf("classes.%d.", i)
@@ -118,5 +83,5 @@
 		}
 		s.Vhosts = append(s.Vhosts, v)
 	}
-	return s, p.err
+	return s
 }
--- /dev/null
+++ b/director/bounds.go
@@ -0,0 +1,40 @@
+package director
+
+import (
+	"runtime"
+	"runtime/debug"
+
+	"indigochute.example/indigochute/config"
+)
+
+// bounds are what this director may hold at a time.
+type bounds struct {
+	clientSockets int
+	nodeSockets   int
+	reqs          int
+	bodies        int64 // bytes of bodies
+}
+
+const (
+	mb         = 1 << 20
+	perReq     = 16 << 10 // of a req without its body: stack, buffers, records
+	clientOpen = 32       // reqs open on one client connection
+)
+
+// split divides sockets and memory: a third of the sockets for clients, a third for nodes, the rest for the
+// feed, the listener and to spare. A quarter of the memory each for reqs and for bodies.
+func split(conf *config.Config) bounds {
+	return bounds{
+		clientSockets: max(1, conf.Sockets/3),
+		nodeSockets:   max(1, conf.Sockets/3),
+		reqs:          max(1, min(conf.MostOpen, conf.MemoryMB*mb/4/perReq)),
+		bodies:        int64(conf.MemoryMB) * mb / 4,
+	}
+}
+
+// Limit sets the runtime's own limits: threads that run at a time, and the memory from which on it collects
+// harder.
+func Limit(conf *config.Config) {
+	runtime.GOMAXPROCS(max(1, int(conf.Cores)))
+	debug.SetMemoryLimit(int64(conf.MemoryMB) * mb * 3 / 4)
+}
--- /dev/null
+++ b/director/conn.go
@@ -0,0 +1,243 @@
+package director
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"indigochute.example/indigochute/resp"
+)
+
+const (
+	sendWithin   = 2 * time.Second // a node that takes longer to take what is written is stuck
+	mostOnRecord = 1024            // reqs, open or given up, that a connection remembers
+)
+
+// conn is one connection to a node; it carries many reqs. All but nc's reading and writing belongs to the lock
+// of nodes.
+type conn struct {
+	s       *nodes
+	n       *node
+	nc      net.Conn // nil until it is up
+	open    map[string]*dispatch
+	live    int  // of those, not given up
+	retired bool // takes no more reqs, closes when the last has ended
+	ended   bool
+	out     []item
+	wake    chan struct{}
+	used    time.Duration // when a req on it ended last
+	heard   time.Duration // when something came last
+}
+
+// item is what waits to be written: a dispatch, or that it is given up.
+type item struct {
+	x    *dispatch
+	drop bool
+	why  Ending
+}
+
+func (c *conn) add(x *dispatch) {
+	x.conn = c
+	c.open[x.ask.ID] = x
+	c.live++
+	c.push(item{x: x})
+	if len(c.open) >= mostOnRecord {
+		c.retired = true
+	}
+}
+
+func (c *conn) push(i item) {
+	c.out = append(c.out, i)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drop gives a dispatch up. Its id stays on record, as an answer may be under way.
+func (c *conn) drop(x *dispatch, why Ending) {
+	if !x.begun {
+		delete(c.open, x.ask.ID)
+		x.finish(why)
+		c.less()
+		return
+	}
+	if slices.ContainsFunc(c.out, func(i item) bool { return i.x == x && i.drop }) {
+		return
+	}
+	c.push(item{x, true, why})
+	// Silent since this was written: the machine may be cut off, which the connection will never tell.
+	if now := c.s.clock.now(); x.wrote > c.heard && now-x.wrote > c.s.conf.DialTimeout {
+		c.retired = true
+	}
+}
+
+// less notes that a req on the connection has ended.
+func (c *conn) less() {
+	c.live--
+	c.used = c.s.clock.now()
+	if c.retired && c.live == 0 {
+		c.end(Stopped, nil)
+	}
+}
+
+func (c *conn) retire() {
+	c.retired = true
+	if c.live == 0 {
+		c.end(Stopped, nil)
+	}
+}
+
+// run dials, then writes what waits, until the connection ends.
+func (c *conn) run(addr netip.AddrPort) {
+	nc, err := c.s.dialer.Dial("tcp", addr.String())
+	if err != nil {
+		c.stop(NeverConnected, err)
+		return
+	}
+	c.s.mu.Lock()
+	if c.ended {
+		c.s.mu.Unlock()
+		nc.Close()
+		return
+	}
+	c.nc, c.used, c.heard = nc, c.s.clock.now(), c.s.clock.now()
+	c.s.mu.Unlock()
+	go c.read(nc)
+	for range c.wake {
+		for {
+			b, x := c.next()
+			if b == nil {
+				break
+			}
+			nc.SetWriteDeadline(time.Now().Add(sendWithin))
+			if _, err := nc.Write(b); err != nil {
+				c.stop(Cut, err)
+				return
+			}
+			c.written(x)
+		}
+		if c.over() {
+			return
+		}
+	}
+}
+
+func (c *conn) over() bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	return c.ended
+}
+
+// next takes what is to be written next. Of what was given up before it was written, nothing is.
+func (c *conn) next() ([]byte, item) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	for len(c.out) > 0 && !c.ended {
+		i := c.out[0]
+		c.out = slices.Delete(c.out, 0, 1)
+		if i.x.over {
+			continue
+		}
+		if i.drop {
+			return resp.AppendDrop(nil, i.x.ask.ID), i
+		}
+		i.x.begun = true
+		return resp.AppendAsk(nil, &i.x.ask), i
+	}
+	return nil, item{}
+}
+
+// written notes that an item has left whole.
+func (c *conn) written(i item) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	switch {
+	case !i.drop:
+		i.x.wrote = c.s.clock.now()
+	case !i.x.over:
+		i.x.finish(i.why)
+		c.less()
+	}
+}
+
+// read takes the node's answers until the connection ends.
+func (c *conn) read(nc net.Conn) {
+	in := bufio.NewReaderSize(nc, 16<<10)
+	for {
+		a, err := resp.Read(in)
+		if err != nil {
+			c.stop(ofRead(err), err)
+			return
+		}
+		if err := c.answer(a); err != nil {
+			c.stop(Unreadable, err)
+			return
+		}
+	}
+}
+
+// answer ends the dispatch that an answer is to. One to a dispatch given up is dropped in silence.
+func (c *conn) answer(a resp.Answer) error {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.heard = c.s.clock.now()
+	x := c.open[a.ID]
+	if x == nil || a.Word == resp.Pong {
+		return fmt.Errorf("an answer to %q, which is not open", a.ID)
+	}
+	delete(c.open, a.ID)
+	if !x.over {
+		x.answer = a
+		x.finish(answered(a.Word))
+		c.less()
+	}
+	return nil
+}
+
+func (c *conn) stop(e Ending, err error) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.end(e, err)
+}
+
+// end ends the connection and all that is open on it.
+func (c *conn) end(e Ending, err error) {
+	if c.ended {
+		return
+	}
+	c.ended, c.retired = true, true
+	if c.nc != nil {
+		c.nc.Close()
+	}
+	c.s.left++
+	c.n.conns = slices.DeleteFunc(c.n.conns, func(o *conn) bool { return o == c })
+	for _, i := range c.out { // given up, and closing tells the node so
+		if i.drop {
+			i.x.finish(i.why)
+		}
+	}
+	for _, x := range c.open {
+		switch {
+		case e == NeverConnected:
+			x.finish(NeverConnected)
+		case !x.begun:
+			x.finish(NeverConnected)
+		case x.wrote == 0:
+			x.finish(SentInPart)
+		default:
+			x.finish(Lost)
+		}
+	}
+	select {
+	case c.wake <- struct{}{}: // its writer ends
+	default:
+	}
+	if e == Unreadable || e == NeverConnected || c.live > 0 {
+		c.s.log.WithError(err).WithFields(map[string]any{"ending": e.String(), "addr": c.n.addr, "open": c.live}).
+			Info("node connection")
+	}
+}
--- /dev/null
+++ b/director/ending.go
@@ -0,0 +1,94 @@
+package director
+
+import (
+	"errors"
+	"io"
+	"net"
+
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/resp"
+)
+
+// Ending is how a connection or a dispatch ended.
+type Ending uint8
+
+const (
+	Closed         Ending = iota // the other side closed a connection between messages
+	Stopped                      // we closed it, with nothing open on it
+	Cut                          // broken off, or closed within a message
+	Unreadable                   // what came cannot be read; not trusted further
+	Stalled                      // the other side took nothing for too long
+	NeverConnected               // refused, unreachable, or not up in time
+	NeverSent                    // the req had ended before anything of it was written
+	NoRoom                       // no socket left to send it on
+	SentInPart                   // the connection ended before the whole req was written
+	Lost                         // the connection ended after that
+	Withdrawn                    // given up by us
+	Expired                      // the client timeout passed
+	AnsweredHit                  // the bytes
+	AnsweredSame                 // the client's own copy holds
+	AnsweredNone                 // not held
+	AnsweredFull                 // turned away
+	AnsweredFault                // an error
+	AnsweredLate                 // was over already
+)
+
+// outcome tells the module how a dispatch ended. Only what provably never ran may become one of the four
+// endings that say so: NoConnect, Full, Miss, Moot.
+func (e Ending) outcome() control.Ending {
+	switch e {
+	case AnsweredHit, AnsweredSame:
+		return control.Done
+	case AnsweredNone:
+		return control.Miss
+	case AnsweredFull, NoRoom:
+		return control.Full
+	case AnsweredFault:
+		return control.Failed
+	case AnsweredLate, NeverSent:
+		return control.Moot
+	case NeverConnected, SentInPart:
+		return control.NoConnect
+	case Expired:
+		return control.TimedOut
+	case Withdrawn:
+		return control.Cancelled
+	}
+	return control.Reset // it may have run
+}
+
+// answered is the ending that a node's word makes of a dispatch.
+func answered(w resp.Word) Ending {
+	switch w {
+	case resp.Hit:
+		return AnsweredHit
+	case resp.Valid:
+		return AnsweredSame
+	case resp.None:
+		return AnsweredNone
+	case resp.Full:
+		return AnsweredFull
+	case resp.Late:
+		return AnsweredLate
+	}
+	return AnsweredFault
+}
+
+// ofRead tells from an error of a read how the connection ended.
+func ofRead(err error) Ending {
+	var broken net.Error
+	switch {
+	case err == io.EOF:
+		return Closed
+	case errors.Is(err, net.ErrClosed):
+		return Stopped
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
+		return Cut
+	}
+	return Unreadable
+}
+
+var endings = [...]string{"closed", "stopped", "cut", "unreadable", "stalled", "never connected", "never sent",
+	"no room", "sent in part", "lost", "withdrawn", "expired", "hit", "same", "none", "full", "fault", "late"}
+
+func (e Ending) String() string { return endings[e] }
--- /dev/null
+++ b/director/feed.go
@@ -0,0 +1,99 @@
+package director
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
+)
+
+const (
+	feedSilence = 3500 * time.Millisecond // frames come each second
+	feedAgain   = 200 * time.Millisecond  // before the next try to connect
+	feedDial    = time.Second
+)
+
+// follow keeps up with the journal service until the director stops.
+func (d *Director) follow(stop <-chan struct{}) {
+	for {
+		err := d.followOnce(stop)
+		select {
+		case <-stop:
+			return
+		case <-time.After(feedAgain):
+		}
+		d.log.WithError(err).Info("feed: connecting again")
+	}
+}
+
+// followOnce reads events off one connection until that ends or cannot be trusted.
+func (d *Director) followOnce(stop <-chan struct{}) error {
+	nc, err := net.DialTimeout("tcp", d.conf.Journal.String(), feedDial)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	d.mu.Lock()
+	last := d.last
+	d.mu.Unlock()
+	nc.SetDeadline(time.Now().Add(feedSilence))
+	if _, err := nc.Write(feed.AppendHello(nil, last)); err != nil {
+		return err
+	}
+	in := bufio.NewReader(nc)
+	for {
+		nc.SetReadDeadline(time.Now().Add(feedSilence))
+		e, err := feed.Read(in)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-stop:
+			return nil
+		default:
+		}
+		if err := d.hear(e); err != nil {
+			return err
+		}
+	}
+}
+
+// hear takes one event, if it is the next one. One heard before is passed over; after a gap the connection is
+// not trusted, and the next one starts from the last event held.
+func (d *Director) hear(e feed.Event) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	nothing := e.Machines == nil && e.Purge == nil
+	switch {
+	case nothing, e.Number <= d.last:
+		return nil
+	case e.Number > d.last+1:
+		return feed.Gap(d.last, e.Number)
+	}
+	d.last = e.Number
+	d.apply(e)
+	return nil
+}
+
+// apply hands an event to the module.
+func (d *Director) apply(e feed.Event) {
+	now := d.clock.now()
+	if e.Purge != nil {
+		d.dir.Purge(now, e.Purge.Group, e.Purge.Obj, now-d.clock.since(e.Purge.AtUnix))
+	}
+	if e.Machines == nil {
+		return
+	}
+	list := make([]control.Listed, len(e.Machines))
+	for i, m := range e.Machines {
+		l := control.Listed{Node: m.ID, State: m.State, Kind: m.Kind, Zone: m.Zone, Cell: m.Cell}
+		if m.BornUnix != 0 {
+			l.Booted, l.Boot = true, d.clock.since(m.BornUnix)
+		}
+		list[i] = l
+		d.nodes.place(m.ID, m.Addr, m.State != control.Gone)
+	}
+	d.dir.List(now, list, e.Whole)
+}
--- /dev/null
+++ b/director/nodes.go
@@ -0,0 +1,142 @@
+package director
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"indigochute.example/indigochute/config"
+	"indigochute.example/indigochute/resp"
+)
+
+// nodes holds the connections to all nodes. One lock owns them; under it nothing blocks.
+type nodes struct {
+	mu     sync.Mutex
+	byID   map[uint32]*node
+	conf   *config.Config
+	clock  *clock
+	log    *logrus.Entry
+	left   int // sockets that may still be opened
+	dialer net.Dialer
+}
+
+type node struct {
+	id    uint32
+	addr  netip.AddrPort
+	conns []*conn
+}
+
+func newNodes(conf *config.Config, sockets int, c *clock, log *logrus.Entry) *nodes {
+	return &nodes{byID: map[uint32]*node{}, conf: conf, clock: c, log: log, left: sockets,
+		dialer: net.Dialer{Timeout: conf.DialTimeout}}
+}
+
+// place notes where a node listens. Connections to where it was before take no more reqs.
+func (s *nodes) place(id uint32, addr netip.AddrPort, listed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.byID[id]
+	if n == nil {
+		n = &node{id: id}
+		s.byID[id] = n
+	}
+	if n.addr != addr || !listed {
+		for _, c := range n.conns {
+			c.retire()
+		}
+	}
+	n.addr = addr
+}
+
+// dispatch is one sending of a req to a node. What changes after its start belongs to the lock of nodes.
+type dispatch struct {
+	r      *req
+	number int
+	ask    resp.Ask
+	at     time.Duration
+	conn   *conn
+	begun  bool // some of it may have been written
+	wrote  time.Duration
+	over   bool
+
+	ending Ending // from here on set before it is handed to the req's task
+	answer resp.Answer
+	took   time.Duration
+}
+
+// finish hands the end of a dispatch to its req's task. The first end counts.
+func (x *dispatch) finish(e Ending) {
+	if x.over {
+		return
+	}
+	x.over = true
+	x.ending, x.took = e, x.r.d.clock.now()-x.at
+	x.r.ends <- x // has a place for every dispatch
+}
+
+// send puts a dispatch on a connection that has a place for it, or on a new one.
+func (s *nodes) send(id uint32, x *dispatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.byID[id]
+	if n == nil {
+		x.finish(NeverConnected)
+		return
+	}
+	c := n.pick(x)
+	if c == nil {
+		if s.left == 0 && !s.closeIdle() {
+			x.finish(NoRoom)
+			return
+		}
+		s.left--
+		c = &conn{s: s, n: n, open: map[string]*dispatch{}, wake: make(chan struct{}, 1)}
+		n.conns = append(n.conns, c)
+		go c.run(n.addr)
+	}
+	c.add(x)
+}
+
+// pick finds the connection with the fewest reqs open. None may carry the same req twice, as an answer to the
+// first dispatch would pass for one to the second.
+func (n *node) pick(x *dispatch) (best *conn) {
+	s := x.r.d.nodes
+	for _, c := range n.conns {
+		if c.retired || c.live >= s.conf.Streams || c.open[x.ask.ID] != nil {
+			continue
+		}
+		if c.live == 0 && c.nc != nil && s.clock.now()-c.used > s.conf.ConnIdle*4/5 {
+			continue // the node may be closing it just now
+		}
+		if best == nil || c.live < best.live {
+			best = c
+		}
+	}
+	return best
+}
+
+// closeIdle makes room for a connection by closing one that nothing is open on.
+func (s *nodes) closeIdle() bool {
+	for _, n := range s.byID {
+		for _, c := range n.conns {
+			if c.live == 0 && c.nc != nil {
+				c.end(Stopped, nil)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// withdraw gives a dispatch up. It has ended once the node was told, or could not be.
+func (x *dispatch) withdraw(why Ending) {
+	s := x.r.d.nodes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !x.over && x.conn != nil {
+		x.conn.drop(x, why)
+	}
+}
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"indigochute.example/indigochute/config"
 	"indigochute.example/indigochute/control"
 )
 
@@ -96,7 +97,7 @@
 			if r.err != nil {
 				break
 			}
-			set, err := readSettings(string(info))
+			set, err := config.Text(string(info))
 			if err != nil {
 				return fmt.Errorf("offset %d: create: %w", start, err)
 			}
