--- a/director/bounds.go
+++ b/director/bounds.go
@@ -16,9 +16,8 @@
 }
 
 const (
-	mb         = 1 << 20
-	perReq     = 16 << 10 // of a req without its body: stack, buffers, records
-	clientOpen = 32       // reqs open on one client connection
+	mb     = 1 << 20
+	perReq = 16 << 10 // of a req without its body: stack, buffers, records
 )
 
 // split divides sockets and memory: a third of the sockets for clients, a third for nodes, the rest for the
--- a/director/client.go
+++ b/director/client.go
@@ -2,32 +2,59 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"indigochute.example/indigochute/msgpack"
 )
 
-// writeWithin is how long one answer may take to leave; a client that takes longer is gone.
-const writeWithin = 10 * time.Second
+const (
+	clientIdle  = 30 * time.Second // without an open req; clients close theirs sooner
+	messageTime = 10 * time.Second // that one message may take once it has begun
+	writeTime   = 10 * time.Second // that one answer may take to leave; after that the client is gone
+	tasksEach   = 64               // of one client: twice the reqs that it may have open, as ended ones linger
+)
+
+var (
+	errAgain = errors.New("a message id is used again while it is open")
+	errMany  = errors.New("over a bound")
+)
 
 // client is one connection of a client.
 type client struct {
-	d  *Director
-	nc net.Conn
+	d     *Director
+	nc    net.Conn
+	tasks chan struct{} // a place for each req's task
 
-	mu   sync.Mutex
-	open map[uint32]*req // by message id
-	shut bool
+	mu     sync.Mutex
+	open   map[uint32]*req // by message id; until the answer is written
+	shut   bool
+	closes *time.Timer // set once no more is answered
 
 	writing sync.Mutex
 }
 
+func newClient(d *Director, nc net.Conn) *client {
+	return &client{d: d, nc: nc, tasks: make(chan struct{}, tasksEach), open: map[uint32]*req{}}
+}
+
 // read takes the connection's messages until it ends, then tells the reqs open on it that their client left.
 func (c *client) read() {
-	in := msgpack.NewReader(bufio.NewReaderSize(c.nc, 4<<10))
+	buffered := bufio.NewReaderSize(c.nc, 4<<10)
+	in := msgpack.NewReader(buffered)
 	for {
+		c.nc.SetReadDeadline(time.Now().Add(clientIdle))
+		if _, err := buffered.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+			if !c.idle() {
+				continue
+			}
+			c.close(Stopped, nil)
+			return
+		}
+		c.nc.SetReadDeadline(time.Now().Add(messageTime))
 		m, err := in.Read()
 		if err != nil {
 			c.close(ofRead(err), err)
@@ -36,14 +63,12 @@
 		came := c.d.clock.now()
 		switch m.Kind {
 		case msgpack.Call:
-			r := newReq(c.d, c, m, came)
-			if !c.take(r) {
-				c.close(Unreadable, errAgain)
+			if err := c.call(newReq(c.d, c, m, came)); err != nil {
+				c.close(Unreadable, err)
 				return
 			}
-			go r.live()
 		case msgpack.Alive:
-			go c.write(msgpack.Ready(m.ID, true))
+			c.write(msgpack.Ready(m.ID, !c.d.leaving.Load()))
 		case msgpack.Cancel:
 			c.mu.Lock()
 			r := c.open[m.ID]
@@ -55,7 +80,23 @@
 	}
 }
 
-// take notes an open req; a message id that is open already makes the client's answers ambiguous.
+// call starts a req's task, or denies the req at once where there are too many.
+func (c *client) call(r *req) error {
+	if !c.take(r) {
+		return errAgain // two answers under one id would be ambiguous
+	}
+	select {
+	case c.tasks <- struct{}{}:
+		go func() {
+			r.live()
+			<-c.tasks
+		}()
+	default:
+		r.deny(0) // nothing of it was sent
+	}
+	return nil
+}
+
 func (c *client) take(r *req) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,7 +107,7 @@
 	return true
 }
 
-// release forgets a req that has had its answer.
+// release forgets a req that has its answer.
 func (c *client) release(r *req) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -75,6 +116,13 @@
 	}
 }
 
+func (c *client) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) == 0
+}
+
+// close ends the connection; the reqs open on it have lost their client.
 func (c *client) close(e Ending, err error) {
 	c.mu.Lock()
 	first := !c.shut
@@ -86,8 +134,8 @@
 	for _, r := range left {
 		r.leave()
 	}
-	if first && (e == Unreadable || e == Stalled) {
-		c.d.log.WithError(err).WithField("ending", e).Warn("client connection")
+	if first {
+		c.d.note.connection("client connection", e, err, len(left))
 	}
 }
 
@@ -95,13 +143,23 @@
 func (c *client) write(parts ...[]byte) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
+	c.nc.SetWriteDeadline(time.Now().Add(writeTime))
 	buffers := net.Buffers(parts)
 	if _, err := buffers.WriteTo(c.nc); err != nil {
-		e := ofRead(err)
-		if broken, ok := err.(net.Error); ok && broken.Timeout() {
-			e = Stalled
-		}
-		c.close(e, err)
+		c.close(ofWrite(err), err)
+	}
+}
+
+// finish tells a client that has all its answers that no more will come, and gives it time to close: closing
+// over bytes that are not read would take back answers that are under way.
+func (c *client) finish(within time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closes != nil || len(c.open) > 0 {
+		return
+	}
+	c.closes = time.AfterFunc(within, func() { c.close(Stopped, nil) })
+	if half, ok := c.nc.(*net.TCPConn); ok {
+		half.CloseWrite()
 	}
 }
--- a/director/clock.go
+++ b/director/clock.go
@@ -87,6 +87,12 @@
 		if !ok {
 			return left
 		}
-		d.dir.Timer(now, token)
+		d.timer(now, token)
 	}
 }
+
+// timer hands one over. A panic is a defect; it must not take all reqs with it.
+func (d *Director) timer(now time.Duration, token uint32) {
+	defer d.defect("timer")
+	d.dir.Timer(now, token)
+}
--- a/director/conn.go
+++ b/director/conn.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	sendWithin   = 2 * time.Second // a node that takes longer to take what is written is stuck
-	mostOnRecord = 1024            // reqs, open or given up, that a connection remembers
+	sendTime     = 2 * time.Second        // that a node may take to take one req
+	stuckAfter   = 200 * time.Millisecond // of that, one given up meanwhile costs the connection
+	answerTime   = 15 * time.Second       // that one answer may take once it has begun
+	mostOnRecord = 1024                   // reqs, open or given up, that a connection remembers
 )
 
 // conn is one connection to a node; it carries many reqs. All but nc's reading and writing belongs to the lock
@@ -29,7 +31,8 @@
 	out     []item
 	wake    chan struct{}
 	used    time.Duration // when a req on it ended last
-	heard   time.Duration // when something came last
+	heard   time.Duration // when an answer came last
+	writing time.Duration // since when something is being written; 0: nothing is
 }
 
 // item is what waits to be written: a dispatch, or that it is given up.
@@ -68,9 +71,14 @@
 	if slices.ContainsFunc(c.out, func(i item) bool { return i.x == x && i.drop }) {
 		return
 	}
+	now := c.s.clock.now()
+	if c.writing > 0 && now-c.writing > stuckAfter { // the node takes nothing, nor will it hear of this
+		c.end(Stalled, nil)
+		return
+	}
 	c.push(item{x, true, why})
-	// Silent since this was written: the machine may be cut off, which the connection will never tell.
-	if now := c.s.clock.now(); x.wrote > c.heard && now-x.wrote > c.s.conf.DialTimeout {
+	// Silent since then: the machine may be cut off, which the connection will never tell.
+	if now-max(x.wrote, c.heard) > c.s.conf.DialTimeout {
 		c.retired = true
 	}
 }
@@ -113,9 +121,9 @@
 			if b == nil {
 				break
 			}
-			nc.SetWriteDeadline(time.Now().Add(sendWithin))
+			nc.SetWriteDeadline(time.Now().Add(sendTime))
 			if _, err := nc.Write(b); err != nil {
-				c.stop(Cut, err)
+				c.stop(ofWrite(err), err)
 				return
 			}
 			c.written(x)
@@ -142,6 +150,7 @@
 		if i.x.over {
 			continue
 		}
+		c.writing = c.s.clock.now()
 		if i.drop {
 			return resp.AppendDrop(nil, i.x.ask.ID), i
 		}
@@ -155,6 +164,7 @@
 func (c *conn) written(i item) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
+	c.writing = 0
 	switch {
 	case !i.drop:
 		i.x.wrote = c.s.clock.now()
@@ -168,7 +178,10 @@
 func (c *conn) read(nc net.Conn) {
 	in := bufio.NewReaderSize(nc, 16<<10)
 	for {
+		in.Peek(1) // between answers it may be silent for as long as it likes
+		nc.SetReadDeadline(time.Now().Add(answerTime))
 		a, err := resp.Read(in)
+		nc.SetReadDeadline(time.Time{})
 		if err != nil {
 			c.stop(ofRead(err), err)
 			return
@@ -190,11 +203,19 @@
 		return fmt.Errorf("an answer to %q, which is not open", a.ID)
 	}
 	delete(c.open, a.ID)
-	if !x.over {
-		x.answer = a
-		x.finish(answered(a.Word))
-		c.less()
+	if x.over {
+		return nil
 	}
+	e := answered(a.Word)
+	switch {
+	case e == AnsweredSame && x.ask.Have == "": // there is no copy that could be the same
+		e = AnsweredFault
+	case !x.r.hold(len(a.Body)):
+		e, a.Body = NoMemory, nil
+	}
+	x.answer = a
+	x.finish(e)
+	c.less()
 	return nil
 }
 
@@ -236,8 +257,5 @@
 	case c.wake <- struct{}{}: // its writer ends
 	default:
 	}
-	if e == Unreadable || e == NeverConnected || c.live > 0 {
-		c.s.log.WithError(err).WithFields(map[string]any{"ending": e.String(), "addr": c.n.addr, "open": c.live}).
-			Info("node connection")
-	}
+	c.s.note.connection("connection to "+c.n.addr.String(), e, err, c.live)
 }
--- a/director/director.go
+++ b/director/director.go
@@ -4,13 +4,16 @@
 package director
 
 import (
+	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"indigochute.example/indigochute/config"
 	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
 )
 
 // Director is one real director.
@@ -22,23 +25,27 @@
 	bounds bounds
 	clock  *clock
 
-	clients sync.Map // *client, those connected
+	note    *note
+	clients sync.Map     // *client, those connected
+	leaving atomic.Bool  // the signal to end has come
+	bodies  atomic.Int64 // bytes held
 
 	mu     sync.Mutex // owns all below, and the timers
 	dir    *control.Director
 	reqs   map[uint32]*req
 	lastID uint32
-	last   uint64 // number of the last event of the feed
+	last   uint64   // number of the last event of the feed
+	gap    feed.Gap // met last
 }
 
 // New makes a director that knows what its configuration tells.
 func New(conf *config.Config, log *logrus.Entry) *Director {
 	d := &Director{conf: conf, log: log, vhosts: map[string]int{}, bounds: split(conf), clock: newClock(),
-		reqs: map[uint32]*req{}}
+		note: &note{log: log}, reqs: map[uint32]*req{}}
 	for i, name := range conf.Vhosts {
 		d.vhosts[name] = i
 	}
-	d.nodes = newNodes(conf, d.bounds.nodeSockets, d.clock, log)
+	d.nodes = newNodes(conf, d.bounds.nodeSockets, d.clock, d.note)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.dir = control.Start(conf.Settings, d)
@@ -52,26 +59,40 @@
 // What follows is control.Front: called by the module under the lock, it hands over to the req's task.
 
 func (d *Director) Dispatch(id uint32, o control.Order) {
-	r := d.reqs[id]
-	r.todo <- func() { r.dispatch(o) }
+	d.hand(id, func(r *req) { r.dispatch(o) })
 }
 
 func (d *Director) Cancel(id uint32, number int) {
-	r := d.reqs[id]
-	r.todo <- func() { r.withdraw(number, Withdrawn) }
+	d.hand(id, func(r *req) { r.withdraw(number, Withdrawn) })
 }
 
 func (d *Director) Deny(id uint32, comeBack time.Duration) {
-	if r := d.reqs[id]; r.owed {
-		r.owed = false
-		r.todo <- func() { r.deny(comeBack) }
-	}
+	d.answer(id, func(r *req) { r.deny(comeBack) })
 }
 
 func (d *Director) Abort(id uint32) {
-	if r := d.reqs[id]; r.owed {
+	d.answer(id, func(r *req) { r.abort("given up") })
+}
+
+// defect, deferred, logs a panic and goes on.
+func (d *Director) defect(where string) {
+	if fault := recover(); fault != nil {
+		d.log.WithField("panic", fault).Errorf("%s: %s", where, debug.Stack())
+	}
+}
+
+// hand gives a step to the req's task. A req whose task failed is no more.
+func (d *Director) hand(id uint32, step func(*req)) {
+	if r := d.reqs[id]; r != nil {
+		r.todo <- func() { step(r) } // has a place for all that the module may order
+	}
+}
+
+// answer hands over the one final answer, unless another was first.
+func (d *Director) answer(id uint32, step func(*req)) {
+	if r := d.reqs[id]; r != nil && r.owed {
 		r.owed = false
-		r.todo <- func() { r.abort("given up") }
+		d.hand(id, step)
 	}
 }
 
--- a/director/ending.go
+++ b/director/ending.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 
 	"indigochute.example/indigochute/control"
 	"indigochute.example/indigochute/resp"
@@ -21,6 +22,7 @@
 	NeverConnected               // refused, unreachable, or not up in time
 	NeverSent                    // the req had ended before anything of it was written
 	NoRoom                       // no socket left to send it on
+	NoMemory                     // answered, but the bodies held are over the bound
 	SentInPart                   // the connection ended before the whole req was written
 	Lost                         // the connection ended after that
 	Withdrawn                    // given up by us
@@ -43,7 +45,7 @@
 		return control.Miss
 	case AnsweredFull, NoRoom:
 		return control.Full
-	case AnsweredFault:
+	case AnsweredFault, NoMemory:
 		return control.Failed
 	case AnsweredLate, NeverSent:
 		return control.Moot
@@ -82,13 +84,23 @@
 		return Closed
 	case errors.Is(err, net.ErrClosed):
 		return Stopped
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Stalled
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
 		return Cut
 	}
 	return Unreadable
 }
 
+// ofWrite tells it from an error of a write.
+func ofWrite(err error) Ending {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return Stalled
+	}
+	return ofRead(err)
+}
+
 var endings = [...]string{"closed", "stopped", "cut", "unreadable", "stalled", "never connected", "never sent",
-	"no room", "sent in part", "lost", "withdrawn", "expired", "hit", "same", "none", "full", "fault", "late"}
+	"no room", "no memory", "sent in part", "lost", "withdrawn", "expired", "hit", "same", "none", "full", "fault", "late"}
 
 func (e Ending) String() string { return endings[e] }
--- a/director/feed.go
+++ b/director/feed.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	feedSilence = 3500 * time.Millisecond // frames come each second
+	feedSilence = 2500 * time.Millisecond // frames come each second
 	feedAgain   = 200 * time.Millisecond  // before the next try to connect
 	feedDial    = time.Second
 )
@@ -60,17 +60,23 @@
 	}
 }
 
-// hear takes one event, if it is the next one. One heard before is passed over; after a gap the connection is
-// not trusted, and the next one starts from the last event held.
+// hear takes one event, if it is the next one. One heard before is passed over. After a gap the connection is
+// not trusted, and the next one starts from the last event held; if that shows the same gap, what is missing is
+// not to be had, and later news are better than none.
 func (d *Director) hear(e feed.Event) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	nothing := e.Machines == nil && e.Purge == nil
-	switch {
-	case nothing, e.Number <= d.last:
+	defer d.defect("feed")
+	if e.Machines == nil && e.Purge == nil || e.Number <= d.last {
 		return nil
-	case e.Number > d.last+1:
-		return feed.Gap(d.last, e.Number)
+	}
+	if e.Number > d.last+1 {
+		gap := feed.Gap{Last: d.last, Next: e.Number}
+		if d.gap != gap {
+			d.gap = gap
+			return gap
+		}
+		d.log.WithError(gap).Warn("feed: taken all the same")
 	}
 	d.last = e.Number
 	d.apply(e)
@@ -93,7 +99,7 @@
 			l.Booted, l.Boot = true, d.clock.since(m.BornUnix)
 		}
 		list[i] = l
-		d.nodes.place(m.ID, m.Addr, m.State != control.Gone)
+		d.nodes.place(m)
 	}
 	d.dir.List(now, list, e.Whole)
 }
--- a/director/listener.go
+++ b/director/listener.go
@@ -22,7 +22,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &client{d: d, nc: nc, open: map[uint32]*req{}}
+		c := newClient(d, nc)
 		d.clients.Store(c, true)
 		go func() {
 			c.read()
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -3,12 +3,13 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"indigochute.example/indigochute/config"
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
 	"indigochute.example/indigochute/resp"
 )
 
@@ -18,37 +19,37 @@
 	byID   map[uint32]*node
 	conf   *config.Config
 	clock  *clock
-	log    *logrus.Entry
+	note   *note
 	left   int // sockets that may still be opened
 	dialer net.Dialer
 }
 
 type node struct {
-	id    uint32
 	addr  netip.AddrPort
+	born  int64 // Unix millisecond of its start, as listed
 	conns []*conn
 }
 
-func newNodes(conf *config.Config, sockets int, c *clock, log *logrus.Entry) *nodes {
-	return &nodes{byID: map[uint32]*node{}, conf: conf, clock: c, log: log, left: sockets,
+func newNodes(conf *config.Config, sockets int, c *clock, n *note) *nodes {
+	return &nodes{byID: map[uint32]*node{}, conf: conf, clock: c, note: n, left: sockets,
 		dialer: net.Dialer{Timeout: conf.DialTimeout}}
 }
 
-// place notes where a node listens. Connections to where it was before take no more reqs.
-func (s *nodes) place(id uint32, addr netip.AddrPort, listed bool) {
+// place notes where a node listens. Connections to where or what it was before take no more reqs.
+func (s *nodes) place(m feed.Machine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := s.byID[id]
+	n := s.byID[m.ID]
 	if n == nil {
-		n = &node{id: id}
-		s.byID[id] = n
+		n = &node{}
+		s.byID[m.ID] = n
 	}
-	if n.addr != addr || !listed {
-		for _, c := range n.conns {
+	if n.addr != m.Addr || n.born != m.BornUnix || m.State == control.Gone {
+		for _, c := range slices.Clone(n.conns) {
 			c.retire()
 		}
 	}
-	n.addr = addr
+	n.addr, n.born = m.Addr, m.BornUnix
 }
 
 // dispatch is one sending of a req to a node. What changes after its start belongs to the lock of nodes.
@@ -118,17 +119,21 @@
 	return best
 }
 
-// closeIdle makes room for a connection by closing one that nothing is open on.
+// closeIdle makes room for a connection by closing the one that nothing has been open on for longest.
 func (s *nodes) closeIdle() bool {
+	var idle *conn
 	for _, n := range s.byID {
 		for _, c := range n.conns {
-			if c.live == 0 && c.nc != nil {
-				c.end(Stopped, nil)
-				return true
+			if c.live == 0 && c.nc != nil && (idle == nil || c.used < idle.used) {
+				idle = c
 			}
 		}
 	}
-	return false
+	if idle == nil {
+		return false
+	}
+	idle.end(Stopped, nil)
+	return true
 }
 
 // withdraw gives a dispatch up. It has ended once the node was told, or could not be.
--- a/director/req.go
+++ b/director/req.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigochute.example/indigochute/control"
@@ -14,8 +15,6 @@
 	"indigochute.example/indigochute/resp"
 )
 
-var errAgain = errors.New("a message id is used again while it is open")
-
 // req is one req of a client. Its task is live; all that is not said to belong to a lock belongs to that.
 type req struct {
 	d        *Director
@@ -33,7 +32,8 @@
 	owed    bool // the final answer; belongs to the director's lock
 	settled bool // the final answer is written, or the client has gone
 	sent    []*dispatch
-	open    int // of those
+	open    int          // of those
+	held    atomic.Int64 // bytes of bodies
 }
 
 func newReq(d *Director, c *client, m msgpack.Message, came time.Duration) *req {
@@ -53,7 +53,7 @@
 		r.abort(err.Error())
 		return
 	}
-	if !r.enter(ask) {
+	if err := r.enter(ask); err != nil {
 		r.deny(0) // nothing of it was sent
 		return
 	}
@@ -122,19 +122,32 @@
 	return true
 }
 
-// enter hands the req to the module, unless there are too many.
-func (r *req) enter(a control.Ask) bool {
+// enter hands the req to the module, unless too much is held.
+func (r *req) enter(a control.Ask) error {
+	if !r.hold(len(r.msg.Body)) {
+		return errMany
+	}
 	d := r.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.reqs) >= d.bounds.reqs {
-		return false
+		return errMany
 	}
 	for d.lastID++; d.reqs[d.lastID] != nil; d.lastID++ { // the count has come round
 	}
 	r.id, a.ID, r.owed = d.lastID, d.lastID, true
 	d.reqs[r.id] = r
 	d.dir.Req(d.clock.now(), a)
+	return nil
+}
+
+// hold counts a body that the req holds until its end, unless all bodies together are over the bound.
+func (r *req) hold(size int) bool {
+	if r.d.bodies.Add(int64(size)) > r.d.bounds.bodies {
+		r.d.bodies.Add(-int64(size))
+		return false
+	}
+	r.held.Add(int64(size))
 	return true
 }
 
@@ -210,12 +223,12 @@
 		return
 	}
 	r.settled = true
-	r.from.release(r)
 	select {
 	case <-r.left:
 	default:
 		answer()
 	}
+	r.from.release(r)
 }
 
 // end forgets the req. A panic in its task is a defect; it costs this req alone.
@@ -229,6 +242,7 @@
 		}
 	}
 	r.from.release(r)
+	r.d.bodies.Add(-r.held.Load())
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	delete(r.d.reqs, r.id)
--- a/director/shutdown.go
+++ b/director/shutdown.go
@@ -6,9 +6,13 @@
 	"time"
 )
 
+// After the signal to end, clients connect and ask for some tenths of a second more; all that is left is
+// answered before the process may be killed.
 const (
-	lateComers = 750 * time.Millisecond // after the signal clients still connect and ask for this long
-	settleEach = 10 * time.Millisecond
+	lateComers = 700 * time.Millisecond  // from the signal: reqs are taken until then
+	leaveAfter = 3300 * time.Millisecond // from the signal: what is open is aborted
+	goodbye    = 200 * time.Millisecond  // for the last answers to arrive
+	lookEach   = 5 * time.Millisecond
 )
 
 // Run serves until the context ends, then until nothing is owed.
@@ -17,30 +21,48 @@
 	if err != nil {
 		return err
 	}
+	d.serve(ctx, l)
+	return nil
+}
+
+func (d *Director) serve(ctx context.Context, l net.Listener) {
 	stop := make(chan struct{})
 	defer close(stop)
 	go d.runTimers(stop)
 	go d.follow(stop)
 	go d.accept(l)
-	d.log.WithField("listen", d.conf.Listen).Info("serving")
+	d.log.WithField("listen", l.Addr()).Info("serving")
 	<-ctx.Done()
+	signalled := time.Now()
+	d.leaving.Store(true)
 	d.log.Info("leaving")
 	time.Sleep(lateComers)
 	l.Close()
-	for d.owing() > 0 {
-		time.Sleep(settleEach)
+	for d.connected(func(c *client) { c.finish(goodbye) }) > 0 { // what crosses this is sent again elsewhere
+		if time.Since(signalled) > leaveAfter {
+			d.abortAll()
+		}
+		time.Sleep(lookEach)
 	}
+	d.log.Info("nothing is owed any more")
+}
+
+// connected counts the clients, after doing something with each.
+func (d *Director) connected(do func(*client)) (n int) {
 	d.clients.Range(func(c, _ any) bool {
-		c.(*client).close(Stopped, nil)
+		do(c.(*client))
+		n++
 		return true
 	})
-	d.log.Info("nothing is owed any more")
-	return nil
+	return n
 }
 
-// owing counts the reqs that are not yet over.
-func (d *Director) owing() int {
+// abortAll gives every open req its final answer, which promises nothing.
+func (d *Director) abortAll() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.reqs)
+	for id := range d.reqs {
+		d.answer(id, func(r *req) { r.abort("leaving") })
+		d.dir.Left(d.clock.now(), id)
+	}
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -221,4 +221,6 @@
 func FormatID(id uint32) string { return fmt.Sprintf("s-%08x", id) }
 
 // Gap says that events are missing.
-func Gap(last, next uint64) error { return fmt.Errorf("feed: event %d after %d", next, last) }
+type Gap struct{ Last, Next uint64 }
+
+func (g Gap) Error() string { return fmt.Sprintf("feed: event %d after %d", g.Next, g.Last) }
