--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"10.0.0.4:8443","seed":"8c1f30d27a5be964","journal":"10.2.0.1:2379",
+ "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},"flow_bytes_per_s":310000,
+ "known":{"pos":1,"entries":[{"hosts":{"hosts":[{"host":"s-331d10af","dial":"10.1.0.1:1","site":"east","class":"box",
+  "health":"SERVING"}]},"pos":1}]},
+ "settings":{"classes":[{"name":"clip","aim":400000,"aimStretch":2.0,"deadline":6000000,"group":"all","window":5000000,
+  "idempotency":"read_like"},{"name":"log","aim":600000,"deadline":3000000,"group":"zone","idempotency":"idempotency_key",
+  "window":3000000}],"domain":{"classFresh":[0,12000000],"classGrace":[0,1],"hubOf":[0,1],"inParts":[true,false],
+  "mayPassBy":true,"midKind":1,"sourceKind":2,"passOn":[false,true],"zoneBalancers":[1,2],"parentFloor":0.075},
+  "instances":3,"limits":{"cancel":true,"sendCap":8,"dialTimeout":250000},"me":2,"models":["box","mid","root"],
+  "rules":{"fallMultiple":3.0,"rampTime":17000000,"tipAfter":3000000},"tenants":[],"zone":1,"zones":["west","east"]}}`
+
+const text = `classes.count=2
+classes.0.aim=400000
+classes.0.aimStretch=2.0
+classes.0.deadline=6000000
+classes.0.group=all
+classes.0.idempotency=read_like
+classes.0.window=5000000
+classes.1.aim=600000
+classes.1.deadline=3000000
+classes.1.group=zone
+classes.1.idempotency=idempotency_key
+classes.1.window=3000000
+domain.classFresh=0,12000000
+domain.classGrace=0,1
+domain.hubOf=0,1
+domain.inParts=true,false
+domain.mayPassBy=true
+domain.midKind=1
+domain.sourceKind=2
+domain.parentFloor=0.075
+domain.passOn=false,true
+domain.zoneBalancers=1,2
+instances=3
+limits.cancel=true
+limits.sendCap=8
+me=2
+rules.fallMultiple=3.0
+rules.rampTime=17000000
+rules.tipAfter=3000000
+zone=1`
+
+// The bench's text and the director's JSON are two forms of the same settings.
+func TestBothFormsAlike(t *testing.T) {
+	c, err := Parse([]byte(good), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Text(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Seed = c.Settings.Seed; !reflect.DeepEqual(s, c.Settings) {
+		t.Errorf("text %+v\nJSON %+v", s, c.Settings)
+	}
+	if c.Settings.Seed != 0x8c1f30d27a5be964 || c.DialTimeout != 250*time.Millisecond || c.Streams != defaultStreams ||
+		c.Sockets != 4096 || len(c.Known) != 1 || c.Last != 1 || c.Vhosts[1] != "log" {
+		t.Errorf("%+v", c)
+	}
+	if c, err = Parse([]byte(good), "n9", "127.0.0.1:9"); err != nil || c.Name != "n9" || c.Listen.Port() != 9 {
+		t.Errorf("what goes before the file: %+v %v", c, err)
+	}
+}
+
+func TestFaultsNameTheKey(t *testing.T) {
+	for _, c := range [][3]string{
+		{`"listen":"10.0.0.4:8443"`, `"listen":"here"`, "listen"}, {`"name":"n3",`, ``, "name"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"xyz"`, "seed"}, {`"journal":"10.2.0.1:2379",`, ``, "journal"},
+		{`"cores":1.0`, `"cores":0`, "limits.cores"}, {`"sockets":4096`, `"sockets":"many"`, "limits.sockets"},
+		{`"known"`, `"unknown"`, "known"}, {`"settings"`, `"set"`, "settings"},
+		{`"name":"log",`, ``, "settings.classes.1.name"}, {`"deadline":3000000,`, ``, "settings.classes.1.deadline"},
+		{`"read_like"`, `"readlike"`, "settings.classes.0.idempotency"}, {`"sendCap":8`, `"sendCap":800`, "settings.limits.sendCap"},
+		{`"zone":1`, `"zone":"east"`, "settings.zone"}, {`"site":"east"`, `"site":"south"`, "known.entries.0.hosts.hosts.0.site"},
+		{`"rampTime":17000000,`, ``, "settings.rules.rampTime"}, {`"instances":3,`, ``, "settings.instances"},
+	} {
+		bad := strings.Replace(good, c[0], c[1], 1)
+		if _, err := Parse([]byte(bad), "", ""); err == nil || !strings.HasPrefix(err.Error(), c[2]+":") {
+			t.Errorf("%s: %v", c[2], err)
+		}
+	}
+	if _, err := Parse([]byte(good[:100]), "", ""); err == nil {
+		t.Error("half a file was taken")
+	}
+	if _, err := Text("classes.count=999999"); err == nil || !strings.HasPrefix(err.Error(), "classes.count:") {
+		t.Errorf("classes.count: %v", err)
+	}
+}
--- /dev/null
+++ b/director/director_test.go
@@ -0,0 +1,515 @@
+package director
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"indigochute.example/indigochute/config"
+	"indigochute.example/indigochute/control"
+)
+
+const patience = 10 * time.Second // far more than anything here takes
+
+// asked is one command that a stand-in for a node got.
+type asked struct {
+	word, id, fields, body string
+	conn                   net.Conn
+	node                   int
+}
+
+func (a asked) reply(t *testing.T, word, fields, body string) {
+	t.Helper()
+	b := "*4\r\n"
+	for _, s := range []string{a.id, word, fields, body} {
+		b += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
+	}
+	if _, err := io.WriteString(a.conn, b); err != nil {
+		t.Error(err)
+	}
+}
+
+// world is a director between stand-ins on loopback: caches that do as a test says, and a client.
+type world struct {
+	t       *testing.T
+	d       *Director
+	asks    chan asked
+	nc      net.Conn
+	in      *bufio.Reader
+	nodes   []net.Listener
+	journal net.Listener
+	stop    context.CancelFunc
+	served  chan struct{}
+	lastID  uint32
+}
+
+const vhosts = `[{"name":"page","aim":%[1]d,"deadline":%[1]d,"idempotency":"read_like","group":"all"},
+ {"name":"log","aim":%[1]d,"deadline":%[1]d,"idempotency":"idempotency_key","group":"all","window":%[1]d},
+ {"name":"order","aim":%[1]d,"deadline":%[1]d,"idempotency":"non_idempotent","group":"all"}]`
+
+func start(t *testing.T, caches int) *world {
+	w := &world{t: t, asks: make(chan asked, 100), served: make(chan struct{}), journal: listen(t)}
+	var hosts []string
+	for i := range caches {
+		l := listen(t)
+		w.nodes = append(w.nodes, l)
+		go w.stand(i, l)
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%08x","dial":%q,"site":"here","class":"box","health":"SERVING"}`,
+			i+1, l.Addr()))
+	}
+	hosts = append(hosts, `{"host":"s-000000aa","dial":"127.0.0.1:1","site":"here","class":"mid","health":"SERVING"}`)
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:1","seed":"0000000000000007","journal":%[3]q,
+		"limits":{"cores":1,"memory_mb":64,"sockets":64},
+		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"whole":true,"hosts":[%[2]s]}}]},
+		"settings":{"classes":`+vhosts+`,"instances":1,"zone":0,"zones":["here"],"models":["box","mid"],
+		"domain":{"midKind":1,"sourceKind":9,"passOn":[false,true,true],"hubOf":[0],"zoneBalancers":[1]},
+		"limits":{"sendCap":4,"cancel":true,"retryAfter":true,"maxRetryAfter":1000000,"maxStreams":32},
+		"rules":{"fallMultiple":3,"tipAfter":3000000,"rampTime":9000000,"startCapacity":0.2}}}`,
+		patience.Microseconds(), strings.Join(hosts, ","), w.journal.Addr())
+	conf, err := config.Parse([]byte(text), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w.d = New(conf, logrus.NewEntry(log))
+	l := listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() {
+		w.d.serve(ctx, l)
+		close(w.served)
+	}()
+	w.nc = dial(t, l.Addr().String())
+	w.in = bufio.NewReader(w.nc)
+	t.Cleanup(stop)
+	return w
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.SetDeadline(time.Now().Add(2 * patience))
+	t.Cleanup(func() { nc.Close() })
+	return nc
+}
+
+// stand hands what a cache is asked to the test.
+func (w *world) stand(node int, l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			in := bufio.NewReader(nc)
+			for {
+				var words [4]string
+				var n int
+				if _, err := fmt.Fscanf(in, "*%d\r\n", &n); err != nil || n > 4 {
+					return
+				}
+				for i := range n {
+					var size int
+					if _, err := fmt.Fscanf(in, "$%d\r\n", &size); err != nil {
+						return
+					}
+					b := make([]byte, size+2)
+					if _, err := io.ReadFull(in, b); err != nil {
+						return
+					}
+					words[i] = string(b[:size])
+				}
+				w.asks <- asked{words[0], words[1], words[2], words[3], nc, node}
+			}
+		}()
+	}
+}
+
+// next is what a node was asked next.
+func (w *world) next(word string) asked {
+	w.t.Helper()
+	select {
+	case a := <-w.asks:
+		if a.word != word {
+			w.t.Fatalf("a node got %v, not %s", a, word)
+		}
+		return a
+	case <-time.After(patience):
+		w.t.Fatalf("no node got a %s", word)
+	}
+	return asked{}
+}
+
+func str(s string) string {
+	return "\xda" + string(binary.BigEndian.AppendUint16(nil, uint16(len(s)))) + s
+}
+
+// call writes a req; timeout is in milliseconds.
+func (w *world) call(vhost string, timeout int, body string, more ...string) uint32 {
+	w.lastID++
+	fields := append([]string{"i", fmt.Sprintf("%016x", w.lastID), "d", strconv.Itoa(timeout), "o", "00000000000000a1",
+		"n", "2", "shard", "3"}, more...)
+	b := "\x94\x00\xce" + string(binary.BigEndian.AppendUint32(nil, w.lastID)) + str(vhost) + "\x92\xde\x00"
+	b += string(rune(len(fields) / 2))
+	for _, f := range fields {
+		b += str(f)
+	}
+	b += "\xc6" + string(binary.BigEndian.AppendUint32(nil, uint32(len(body)))) + body
+	w.write(b)
+	return w.lastID
+}
+
+func (w *world) write(b string) {
+	if _, err := io.WriteString(w.nc, b); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// answer reads one answer: to which req, the word of its error or "", and the body or the rest.
+func (w *world) answer() (id uint32, word, body string) {
+	w.t.Helper()
+	head := w.take(8)
+	if !bytes.HasPrefix(head, []byte("\x94\x01\xce")) {
+		w.t.Fatalf("an answer begins with %x", head)
+	}
+	id = binary.BigEndian.Uint32(head[3:])
+	if head[7] == 0x92 {
+		word = string(w.take(int(w.take(1)[0] & 0x1f)))
+		rest := ""
+		for range 2 * (w.take(1)[0] & 0x0f) {
+			n := int(w.take(1)[0])
+			if n == 0xd9 {
+				n = int(w.take(1)[0])
+			} else {
+				n &= 0x1f
+			}
+			rest += string(w.take(n)) + " "
+		}
+		w.take(1)
+		return id, word, rest
+	}
+	size := w.take(6)
+	body = string(w.take(int(binary.BigEndian.Uint32(size[2:]))))
+	if w.take(1)[0] == 0x81 {
+		return id, "still " + string(w.take(8)[7:]), body
+	}
+	return id, "", body
+}
+
+func (w *world) take(n int) []byte {
+	w.t.Helper()
+	b := make([]byte, n)
+	if _, err := io.ReadFull(w.in, b); err != nil {
+		w.t.Fatal(err)
+	}
+	return b
+}
+
+func (w *world) expect(id uint32, word, body string) {
+	w.t.Helper()
+	if gotID, gotWord, gotBody := w.answer(); gotID != id || gotWord != word || gotBody != body {
+		w.t.Fatalf("answer to %d: %q, %d bytes; want %d: %q, %d bytes", gotID, gotWord, len(gotBody), id, word, len(body))
+	}
+}
+
+func TestBytesPassUnchanged(t *testing.T) {
+	w := start(t, 1)
+	big := strings.Repeat("0123456\xff\r\n", 24000)
+	id := w.call("page", 5000, "", "mine", "4be0c1927d55a6f3")
+	a := w.next("GET")
+	for _, f := range []string{"c=page", "k=00000000000000a1", "p=2", "next=s-000000aa", "cached=4be0c1927d55a6f3"} {
+		if !strings.Contains(","+a.fields+",", ","+f+",") {
+			t.Errorf("fields %q lack %s", a.fields, f)
+		}
+	}
+	if a.id != fmt.Sprintf("%016x", id) {
+		t.Errorf("id %q", a.id)
+	}
+	a.reply(t, "HIT", "note=fetched,slow=12,t0=1,sum=ab,load=util:0.5;x1:2", big)
+	w.expect(id, "", big)
+	id = w.call("page", 5000, "", "mine", "4be0c1927d55a6f3")
+	w.next("GET").reply(t, "VALID", "sum=4b,t0=1,note=cached", "")
+	w.expect(id, "still 1", "")
+	id = w.call("log", 5000, big[:48000], "k", "5c0f")
+	if a = w.next("GET"); a.body != big[:48000] || !strings.Contains(a.fields, ",i=5c0f") {
+		t.Errorf("body of %d bytes, fields %q", len(a.body), a.fields)
+	}
+	a.reply(t, "HIT", "-", "ok")
+	w.expect(id, "", "ok")
+}
+
+func TestAnswersInAnyOrder(t *testing.T) {
+	w := start(t, 1)
+	first, second := w.call("log", 5000, "1"), w.call("log", 5000, "2")
+	a, b := w.next("GET"), w.next("GET")
+	if a.body == "2" {
+		a, b = b, a
+	}
+	b.reply(t, "HIT", "-", b.body)
+	w.expect(second, "", "2")
+	a.reply(t, "HIT", "-", a.body)
+	w.expect(first, "", "1")
+}
+
+// A node that turns a req away, errs or breaks off: what may have run is sent again only where that is harmless.
+func TestFurtherDispatches(t *testing.T) {
+	for _, c := range []struct {
+		vhost, word string
+		again       bool
+	}{
+		{"page", "SHED", true}, {"page", "FAULT", true}, {"page", "", true},
+		{"log", "SHED", true}, {"log", "", true},
+		{"order", "SHED", true}, {"order", "FAULT", false}, {"order", "", false},
+	} {
+		w := start(t, 2)
+		id := w.call(c.vhost, 5000, "x", "k", "7")
+		a := w.next("GET")
+		if c.word == "" {
+			a.conn.Close()
+		} else {
+			a.reply(t, c.word, "-", "")
+		}
+		if !c.again {
+			if _, word, _ := w.answer(); word != "Fault" {
+				t.Errorf("%s after %q: %q", c.vhost, c.word, word)
+			}
+			continue
+		}
+		b := w.next("GET")
+		if b.node == a.node {
+			t.Errorf("%s after %q: the same cache again", c.vhost, c.word)
+		}
+		b.reply(t, "HIT", "note=cached", "y")
+		w.expect(id, "", "y")
+	}
+}
+
+// Nobody listens at the first: a refused connection proves that nothing ran, even for a non-replayable req.
+func TestRefusedConnection(t *testing.T) {
+	w := start(t, 2)
+	id := w.call("order", 5000, "x")
+	home := w.next("GET")
+	home.reply(t, "HIT", "-", "")
+	w.expect(id, "", "")
+	w.nodes[home.node].Close()
+	home.conn.Close()
+	for closed := false; !closed; time.Sleep(time.Millisecond) { // until the director has seen it
+		w.d.nodes.mu.Lock()
+		closed = len(w.d.nodes.byID[uint32(home.node+1)].conns) == 0
+		w.d.nodes.mu.Unlock()
+	}
+	id = w.call("order", 5000, "x")
+	w.next("GET").reply(t, "HIT", "-", "")
+	w.expect(id, "", "")
+}
+
+// A node that takes reqs and answers none: the final answer comes before the client timeout, and the node is
+// told. An answer that crosses is dropped, and the next req is served.
+func TestHang(t *testing.T) {
+	w := start(t, 1)
+	id := w.call("page", 500, "")
+	a := w.next("GET")
+	if gotID, word, rest := w.answer(); gotID != id || word != "Shed" || !strings.HasPrefix(rest, "w ") {
+		t.Fatalf("%d %q %q", gotID, word, rest)
+	}
+	if drop := w.next("DROP"); drop.id != a.id {
+		t.Errorf("dropped %q", drop.id)
+	}
+	a.reply(t, "HIT", "note=cached", "late")
+	id = w.call("page", 5000, "")
+	w.next("GET").reply(t, "HIT", "note=cached", "in time")
+	w.expect(id, "", "in time")
+}
+
+func TestClientCancels(t *testing.T) {
+	w := start(t, 1)
+	id := w.call("page", 5000, "")
+	a := w.next("GET")
+	w.write("\x93\x02" + str("cancelRequest") + "\x91" + string(rune(id)))
+	if drop := w.next("DROP"); drop.id != a.id {
+		t.Errorf("dropped %q", drop.id)
+	}
+	a.reply(t, "HIT", "-", "nobody waits")
+	id = w.call("page", 5000, "")
+	w.next("GET").reply(t, "HIT", "-", "here")
+	w.expect(id, "", "here")
+}
+
+// What cannot be read costs its own connection only.
+func TestUnreadable(t *testing.T) {
+	w := start(t, 2)
+	other := dial(t, w.nc.RemoteAddr().String())
+	other.Write([]byte("\x94\x00\x01\xdb\xff\xff\xff\xff"))
+	if n, err := other.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("%d %v", n, err)
+	}
+	id := w.call("nothing of ours", 5000, "")
+	if gotID, word, _ := w.answer(); gotID != id || word != "Fault" {
+		t.Errorf("%d %q", gotID, word)
+	}
+	id = w.call("page", 5000, "")
+	a := w.next("GET")
+	asked{id: "00000000000000ff", conn: a.conn}.reply(t, "HIT", "-", "to nobody")
+	w.next("GET").reply(t, "HIT", "-", "from the other")
+	w.expect(id, "", "from the other")
+}
+
+// After the signal what comes is answered still; then the director ends by itself.
+func TestLeaving(t *testing.T) {
+	w := start(t, 1)
+	before := w.call("log", 5000, "1")
+	a := w.next("GET")
+	w.stop()
+	after := w.call("log", 5000, "2")
+	w.next("GET").reply(t, "HIT", "-", "b")
+	w.expect(after, "", "b")
+	a.reply(t, "HIT", "-", "a")
+	w.expect(before, "", "a")
+	select {
+	case <-w.served:
+	case <-time.After(patience):
+		t.Fatal("it stays")
+	}
+	if _, err := w.in.ReadByte(); err != io.EOF {
+		t.Errorf("the client's connection ends with %v", err)
+	}
+}
+
+// A req that is open for too long after the signal is aborted, not left to be killed.
+func TestLeavingWithoutAnswers(t *testing.T) {
+	w := start(t, 1)
+	id := w.call("order", 60000, "1")
+	w.next("GET")
+	w.stop()
+	if gotID, word, _ := w.answer(); gotID != id || word != "Fault" {
+		t.Fatalf("%d %q", gotID, word)
+	}
+	<-w.served
+}
+
+// Over the bound on bodies a req is denied at once, before any node has it.
+func TestBodiesBounded(t *testing.T) {
+	w := start(t, 1)
+	w.d.bodies.Add(w.d.bounds.bodies)
+	id := w.call("order", 5000, "x")
+	if gotID, word, _ := w.answer(); gotID != id || word != "Shed" {
+		t.Fatalf("%d %q", gotID, word)
+	}
+	w.d.bodies.Add(-w.d.bounds.bodies)
+	id = w.call("order", 5000, "x")
+	w.next("GET").reply(t, "HIT", "-", "")
+	w.expect(id, "", "")
+}
+
+// A dispatch given up is remembered on its connection: the same req goes to that node on another one.
+func TestSameReqTwiceAtANode(t *testing.T) {
+	w := start(t, 1)
+	s := w.d.nodes
+	r := &req{d: w.d, ends: make(chan *dispatch, 9)}
+	send := func() *dispatch {
+		x := &dispatch{r: r}
+		x.ask.ID, x.ask.Vhost, x.ask.Wait = "twice", "page", time.Second
+		s.send(1, x)
+		return x
+	}
+	x := send()
+	a := w.next("GET")
+	x.withdraw(Withdrawn)
+	if w.next("DROP"); (<-r.ends).ending != Withdrawn {
+		t.Error("not withdrawn")
+	}
+	y := send()
+	b := w.next("GET")
+	if b.conn == a.conn {
+		t.Fatal("on the same connection")
+	}
+	a.reply(t, "HIT", "-", "to the first")
+	b.reply(t, "HIT", "-", "to the second")
+	if z := <-r.ends; z != y || string(z.answer.Body) != "to the second" {
+		t.Error("the first one's answer was taken")
+	}
+}
+
+func TestFeedReconnects(t *testing.T) {
+	w := start(t, 1)
+	frame := func(number uint64, kind byte, payload ...byte) []byte {
+		b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+		return append(append(binary.BigEndian.AppendUint64(b, number), kind), payload...)
+	}
+	purge := make([]byte, 16)
+	for i, c := range []struct {
+		from  uint64
+		write [][]byte
+	}{
+		{1, [][]byte{frame(1, 0), frame(2, 3, purge...), frame(2, 3, purge...), frame(3, 3, purge...)}},
+		{3, [][]byte{frame(4, 9)}},              // a kind unheard of
+		{3, [][]byte{frame(7, 3, purge...)}},    // a gap
+		{3, [][]byte{frame(7, 3, purge...)}},    // that stays
+		{7, [][]byte{{0xff, 0xff, 0xff, 0xff}}}, // an impossible length
+		{7, nil},
+	} {
+		nc, err := w.journal.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var hello [8]byte
+		if _, err := io.ReadFull(nc, hello[:]); err != nil {
+			t.Fatal(err)
+		}
+		if from := binary.BigEndian.Uint64(hello[:]); from != c.from {
+			t.Errorf("connection %d starts from %d, not %d", i, from, c.from)
+		}
+		for _, b := range c.write {
+			nc.Write(b)
+		}
+		nc.(*net.TCPConn).CloseWrite()
+	}
+}
+
+// Only what never ran may be told as such: a wrong entry here lets an effect happen twice.
+func TestEndings(t *testing.T) {
+	never := map[Ending]control.Ending{NeverConnected: control.NoConnect, SentInPart: control.NoConnect,
+		NeverSent: control.Moot, NoRoom: control.Full, AnsweredNone: control.Miss, AnsweredFull: control.Full,
+		AnsweredLate: control.Moot}
+	may := map[Ending]control.Ending{AnsweredHit: control.Done, AnsweredSame: control.Done,
+		AnsweredFault: control.Failed, NoMemory: control.Failed, Withdrawn: control.Cancelled,
+		Expired: control.TimedOut, Lost: control.Reset, Closed: control.Reset, Stopped: control.Reset,
+		Cut: control.Reset, Unreadable: control.Reset, Stalled: control.Reset}
+	for e := range Ending(len(endings)) {
+		want, proof := never[e]
+		if !proof {
+			want = may[e]
+			if _, listed := may[e]; !listed {
+				t.Errorf("%v is in neither table", e)
+			}
+		}
+		if e.outcome() != want {
+			t.Errorf("%v is told as %d", e, e.outcome())
+		}
+	}
+	if AnsweredLate.String() != "late" {
+		t.Errorf("names are out of step: %v", AnsweredLate)
+	}
+}
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -124,8 +124,12 @@
 }
 
 func read(in *bufio.Reader) (a Answer, err error) {
-	if n, err := length(in, '*', 4); err != nil || n != 4 {
-		return a, errors.Join(err, errShape)
+	n, err := length(in, '*', 4)
+	if err != nil {
+		return a, err
+	}
+	if n != 4 {
+		return a, errShape
 	}
 	id, err := readBulk(in, mostID)
 	if err != nil {
