Nothing waits behind a connection stuck amid a message; stale orders are void

Reasoned from the protocol: answers on a shared connection come whole, one after the other, so a node that leaves off amid one holds up all behind it (conn.pick took it still); an order that waits for a slow dial or a stuck write could be written after a drain's grace or a purge's (conn.next).

--- a/director/bounds.go
+++ b/director/bounds.go
@@ -13,6 +13,7 @@
 	nodeSockets   int
 	reqs          int
 	bodies        int64 // bytes of bodies
+	clientBodies  int64 // of those of one client, so that one who reads slowly leaves room for others
 }
 
 const (
@@ -23,11 +24,13 @@
 // split divides sockets and memory: a third of the sockets for clients, a third for nodes, the rest for the
 // feed, the listener and to spare. A quarter of the memory each for reqs and for bodies.
 func split(conf *config.Config) bounds {
+	bodies := int64(conf.MemoryMB) * mb / 4
 	return bounds{
 		clientSockets: max(1, conf.Sockets/3),
 		nodeSockets:   max(1, conf.Sockets/3),
 		reqs:          max(1, min(conf.MostOpen, conf.MemoryMB*mb/4/perReq)),
-		bodies:        int64(conf.MemoryMB) * mb / 4,
+		bodies:        bodies,
+		clientBodies:  bodies / 4,
 	}
 }
 
--- a/director/client.go
+++ b/director/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigochute.example/indigochute/msgpack"
@@ -35,6 +36,7 @@
 	closes *time.Timer // set once no more is answered
 
 	writing sync.Mutex
+	bodies  atomic.Int64 // bytes held for it
 }
 
 func newClient(d *Director, nc net.Conn) *client {
--- a/director/conn.go
+++ b/director/conn.go
@@ -13,8 +13,9 @@
 
 const (
 	sendTime     = 2 * time.Second        // that a node may take to take one req
-	stuckAfter   = 200 * time.Millisecond // of that, one given up meanwhile costs the connection
+	stuckAfter   = 200 * time.Millisecond // amid a message: nothing more is sent that way
 	answerTime   = 15 * time.Second       // that one answer may take once it has begun
+	staleAfter   = 300 * time.Millisecond // an order not written by then is void: list and purges may have changed
 	mostOnRecord = 1024                   // reqs, open or given up, that a connection remembers
 )
 
@@ -33,6 +34,7 @@
 	used    time.Duration // when a req on it ended last
 	heard   time.Duration // when an answer came last
 	writing time.Duration // since when something is being written; 0: nothing is
+	reading time.Duration // since when an answer is coming in; 0: none is
 }
 
 // item is what waits to be written: a dispatch, or that it is given up.
@@ -150,6 +152,12 @@
 		if i.x.over {
 			continue
 		}
+		if !i.drop && c.s.clock.now()-i.x.at > staleAfter {
+			delete(c.open, i.x.ask.ID)
+			i.x.finish(NeverConnected)
+			c.less()
+			continue
+		}
 		c.writing = c.s.clock.now()
 		if i.drop {
 			return resp.AppendDrop(nil, i.x.ask.ID), i
@@ -179,6 +187,7 @@
 	in := bufio.NewReaderSize(nc, 16<<10)
 	for {
 		in.Peek(1) // between answers it may be silent for as long as it likes
+		c.begin()
 		nc.SetReadDeadline(time.Now().Add(answerTime))
 		a, err := resp.Read(in)
 		nc.SetReadDeadline(time.Time{})
@@ -193,11 +202,23 @@
 	}
 }
 
+// begin notes that an answer has begun to come.
+func (c *conn) begin() {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.reading = c.s.clock.now()
+}
+
+// stuck tells whether the node has left off amid a message, so that others would wait behind it.
+func (c *conn) stuck(now time.Duration) bool {
+	return c.writing > 0 && now-c.writing > stuckAfter || c.reading > 0 && now-c.reading > stuckAfter
+}
+
 // answer ends the dispatch that an answer is to. One to a dispatch given up is dropped in silence.
 func (c *conn) answer(a resp.Answer) error {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	c.heard = c.s.clock.now()
+	c.heard, c.reading = c.s.clock.now(), 0
 	x := c.open[a.ID]
 	if x == nil || a.Word == resp.Pong {
 		return fmt.Errorf("an answer to %q, which is not open", a.ID)
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -427,9 +427,9 @@
 func TestSameReqTwiceAtANode(t *testing.T) {
 	w := start(t, 1)
 	s := w.d.nodes
-	r := &req{d: w.d, ends: make(chan *dispatch, 9)}
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9)}
 	send := func() *dispatch {
-		x := &dispatch{r: r}
+		x := &dispatch{r: r, at: w.d.clock.now()}
 		x.ask.ID, x.ask.Vhost, x.ask.Wait = "twice", "page", time.Second
 		s.send(1, x)
 		return x
@@ -452,6 +452,36 @@
 	}
 }
 
+// A node that leaves off amid an answer: nothing more waits behind that.
+func TestHalfAnAnswer(t *testing.T) {
+	w := start(t, 1)
+	w.call("page", 500, "")
+	a := w.next("GET")
+	io.WriteString(a.conn, "*4\r\n$16\r\n"+a.id+"\r\n$3\r\nHI")
+	if _, word, _ := w.answer(); word != "Shed" {
+		t.Errorf("%q", word)
+	}
+	w.next("DROP")
+	id := w.call("page", 5000, "")
+	b := w.next("GET")
+	if b.conn == a.conn {
+		t.Fatal("behind half an answer")
+	}
+	b.reply(t, "HIT", "-", "whole")
+	w.expect(id, "", "whole")
+}
+
+// What has waited to be written is void by then: drains and purges heard since would be passed over.
+func TestStaleOrders(t *testing.T) {
+	w := start(t, 1)
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9)}
+	x := &dispatch{r: r, at: w.d.clock.now() - 2*staleAfter}
+	w.d.nodes.send(1, x)
+	if y := <-r.ends; y != x || y.ending != NeverConnected {
+		t.Errorf("ended as %v", y.ending)
+	}
+}
+
 func TestFeedReconnects(t *testing.T) {
 	w := start(t, 1)
 	frame := func(number uint64, kind byte, payload ...byte) []byte {
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -105,11 +105,12 @@
 // first dispatch would pass for one to the second.
 func (n *node) pick(x *dispatch) (best *conn) {
 	s := x.r.d.nodes
+	now := s.clock.now()
 	for _, c := range n.conns {
-		if c.retired || c.live >= s.conf.Streams || c.open[x.ask.ID] != nil {
+		if c.retired || c.stuck(now) || c.live >= s.conf.Streams || c.open[x.ask.ID] != nil {
 			continue
 		}
-		if c.live == 0 && c.nc != nil && s.clock.now()-c.used > s.conf.ConnIdle*4/5 {
+		if c.live == 0 && c.nc != nil && now-c.used > s.conf.ConnIdle*4/5 {
 			continue // the node may be closing it just now
 		}
 		if best == nil || c.live < best.live {
--- a/director/req.go
+++ b/director/req.go
@@ -141,16 +141,23 @@
 	return nil
 }
 
-// hold counts a body that the req holds until its end, unless all bodies together are over the bound.
+// hold counts a body that the req holds until its end, unless all bodies together, or its client's, are over
+// their bound.
 func (r *req) hold(size int) bool {
-	if r.d.bodies.Add(int64(size)) > r.d.bounds.bodies {
-		r.d.bodies.Add(-int64(size))
+	r.count(int64(size))
+	if r.d.bodies.Load() > r.d.bounds.bodies || r.from.bodies.Load() > r.d.bounds.clientBodies {
+		r.count(-int64(size))
 		return false
 	}
-	r.held.Add(int64(size))
 	return true
 }
 
+func (r *req) count(size int64) {
+	r.held.Add(size)
+	r.from.bodies.Add(size)
+	r.d.bodies.Add(size)
+}
+
 // dispatch sends the req to a node.
 func (r *req) dispatch(o control.Order) {
 	now := r.d.clock.now()
@@ -242,7 +249,7 @@
 		}
 	}
 	r.from.release(r)
-	r.d.bodies.Add(-r.held.Load())
+	r.count(-r.held.Load())
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	delete(r.d.reqs, r.id)
