--- a/control/control.go
+++ b/control/control.go
@@ -66,7 +66,7 @@
 	againMost   = 25                     // and saved up: a cache's worth of reqs
 	backLeast   = 200 * time.Millisecond // a denied client may come back after this and a random
 	backSpread  = 600 * time.Millisecond // part of this, so that they do not come together
-	answerEarly = 6 * time.Millisecond   // the last answer leaves this long before the client timeout
+	answerEarly = 25 * time.Millisecond  // before the client timeout the last answer leaves: a busy core is late
 	clearly     = 1.5                    // times quicker: the first of a pair may have the object
 	restless    = 3 * time.Second        // half-life of a fill latency that is not renewed
 	settle      = 1.0 / 16               // weight of one more sample in what is smoothed
