Garbage is collected seldom while memory is plenty

A probe of the answers written within 15 ms of the client timeout, on the build before: ordered by the module up to 24 ms after its timer was due, written within 0.03 ms of the order. So the process was held back, no lock and no write.

--- a/director/bounds.go
+++ b/director/bounds.go
@@ -39,4 +39,5 @@
 func Limit(conf *config.Config) {
 	runtime.GOMAXPROCS(max(1, int(conf.Cores)))
 	debug.SetMemoryLimit(int64(conf.MemoryMB) * mb * 3 / 4)
+	debug.SetGCPercent(400) // far from that limit it may collect seldom
 }
