--- a/cmd/indigochute/main.go
+++ b/cmd/indigochute/main.go
@@ -29,7 +29,7 @@
 func run(args []string, out, errs io.Writer) int {
 	flags := pflag.NewFlagSet("indigochute", pflag.ContinueOnError)
 	flags.SetOutput(errs)
-	verbose := flags.BoolP("verbose", "v", false, "log more")
+	verbose := flags.BoolP("verbose", "v", false, "log each req as well")
 	flags.Usage = func() { fmt.Fprintf(errs, "%s\nflags:\n%s", usage, flags.FlagUsages()) }
 	if err := flags.Parse(args); err == pflag.ErrHelp {
 		return 0
--- a/cmd/indigochute/version.go
+++ b/cmd/indigochute/version.go
@@ -1,6 +1,9 @@
 package main
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+	"strings"
+)
 
 // version is what the build recorded of the sources.
 func version() string {
@@ -8,11 +11,11 @@
 	if !ok {
 		return "indigochute (unknown)"
 	}
-	revision := "unknown"
+	parts := []string{"indigochute", info.Main.Version, info.GoVersion}
 	for _, s := range info.Settings {
 		if s.Key == "vcs.revision" {
-			revision = s.Value
+			parts = append(parts, s.Value)
 		}
 	}
-	return "indigochute " + info.Main.Version + " " + revision + " " + info.GoVersion
+	return strings.Join(parts, " ")
 }
--- a/director/feed.go
+++ b/director/feed.go
@@ -17,22 +17,29 @@
 
 // follow keeps up with the journal service until the director stops.
 func (d *Director) follow(stop <-chan struct{}) {
+	told := "" // one line for each new fault, none for each try
 	for {
-		err := d.followOnce(stop)
+		heard, err := d.followOnce(stop)
+		if heard {
+			told = ""
+		}
 		select {
 		case <-stop:
 			return
 		case <-time.After(feedAgain):
 		}
-		d.log.WithError(err).Info("feed: connecting again")
+		if err != nil && err.Error() != told {
+			told = err.Error()
+			d.log.WithError(err).Warn("feed: lost, connecting until it is back")
+		}
 	}
 }
 
-// followOnce reads events off one connection until that ends or cannot be trusted.
-func (d *Director) followOnce(stop <-chan struct{}) error {
+// followOnce reads events off one connection until that ends or cannot be trusted. It tells whether any came.
+func (d *Director) followOnce(stop <-chan struct{}) (heard bool, err error) {
 	nc, err := net.DialTimeout("tcp", d.conf.Journal.String(), feedDial)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer nc.Close()
 	d.mu.Lock()
@@ -40,23 +47,24 @@
 	d.mu.Unlock()
 	nc.SetDeadline(time.Now().Add(feedSilence))
 	if _, err := nc.Write(feed.AppendHello(nil, last)); err != nil {
-		return err
+		return false, err
 	}
 	in := bufio.NewReader(nc)
 	for {
 		nc.SetReadDeadline(time.Now().Add(feedSilence))
 		e, err := feed.Read(in)
 		if err != nil {
-			return err
+			return heard, err
 		}
 		select {
 		case <-stop:
-			return nil
+			return heard, nil
 		default:
 		}
 		if err := d.hear(e); err != nil {
-			return err
+			return heard, err
 		}
+		heard = true
 	}
 }
 
--- a/director/req.go
+++ b/director/req.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"indigochute.example/indigochute/control"
 	"indigochute.example/indigochute/feed"
 	"indigochute.example/indigochute/msgpack"
@@ -29,8 +31,8 @@
 	left  chan struct{}  // closed when the client has gone
 	leave func()         // closes it
 
-	owed    bool // the final answer; belongs to the director's lock
-	settled bool // the final answer is written, or the client has gone
+	owed    bool   // the final answer; belongs to the director's lock
+	settled string // how: done, denied, aborted or left; "" while the final answer is due
 	sent    []*dispatch
 	open    int          // of those
 	held    atomic.Int64 // bytes of bodies
@@ -60,7 +62,7 @@
 	expired := time.NewTimer(r.deadline - r.d.clock.now())
 	defer expired.Stop()
 	left := r.left
-	for !r.settled || r.open > 0 {
+	for r.settled == "" || r.open > 0 {
 		select {
 		case order := <-r.todo: // dispatch, withdraw, deny or abort
 			order()
@@ -71,7 +73,7 @@
 			}
 		case <-left:
 			left = nil
-			r.settled = true
+			r.settle("left", func() {})
 			r.tellLeft()
 		case <-expired.C: // whatever the nodes do
 			for n := range r.sent {
@@ -172,7 +174,7 @@
 	}
 	r.sent = append(r.sent, x)
 	r.open++
-	if r.settled || x.ask.Wait <= 0 {
+	if r.settled != "" || x.ask.Wait <= 0 {
 		x.finish(NeverSent)
 		return
 	}
@@ -211,25 +213,25 @@
 }
 
 func (r *req) done(x *dispatch) {
-	r.settle(func() {
+	r.settle("done", func() {
 		r.from.write(msgpack.Done(r.msg.ID, x.answer.Body, x.ending == AnsweredSame))
 	})
 }
 
 func (r *req) deny(comeBack time.Duration) {
-	r.settle(func() { r.from.write(msgpack.Denied(r.msg.ID, comeBack)) })
+	r.settle("denied", func() { r.from.write(msgpack.Denied(r.msg.ID, comeBack)) })
 }
 
 func (r *req) abort(why string) {
-	r.settle(func() { r.from.write(msgpack.Aborted(r.msg.ID, why)) })
+	r.settle("aborted", func() { r.from.write(msgpack.Aborted(r.msg.ID, why)) })
 }
 
 // settle gives the one final answer, unless the client has gone.
-func (r *req) settle(answer func()) {
-	if r.settled {
+func (r *req) settle(how string, answer func()) {
+	if r.settled != "" {
 		return
 	}
-	r.settled = true
+	r.settled = how
 	select {
 	case <-r.left:
 	default:
@@ -250,6 +252,10 @@
 	}
 	r.from.release(r)
 	r.count(-r.held.Load())
+	if r.d.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		r.d.log.WithFields(logrus.Fields{"req": r.msg.Req, "vhost": r.msg.Vhost, "dispatches": len(r.sent),
+			"took": r.d.clock.now() - r.came}).Debug(r.settled)
+	}
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	delete(r.d.reqs, r.id)
