--- a/cmd/indigochute/main.go
+++ b/cmd/indigochute/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
@@ -37,15 +38,10 @@
 		fmt.Fprintln(errs, "indigochute:", err)
 		return 2
 	}
-	log := logrus.New()
-	log.SetOutput(errs)
-	if *verbose {
-		log.SetLevel(logrus.DebugLevel)
-	}
 	var err error
 	switch command, rest := flags.Arg(0), flags.NArg()-1; {
 	case command == "serve" && rest == 0:
-		err = serve(log)
+		err = serve(errs, *verbose)
 	case command == "version" && rest == 0:
 		fmt.Fprintln(out, version())
 	case command == "check" && rest == 1:
@@ -61,11 +57,18 @@
 	return 0
 }
 
-func serve(log *logrus.Logger) error {
+func serve(errs io.Writer, verbose bool) error {
 	conf, err := config.FromEnv()
 	if err != nil {
 		return err
 	}
+	out := newLossy(errs)
+	defer out.flush(time.Second)
+	log := logrus.New()
+	log.SetOutput(out)
+	if verbose {
+		log.SetLevel(logrus.DebugLevel)
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	director.Limit(conf)
