--- a/control/control_test.go
+++ b/control/control_test.go
@@ -170,6 +170,9 @@
 	w.purge(3, 0, 0) // of a group never seen
 	w.ask(0, 7, 0)
 	w.blame(w.last.Age != time.Microsecond, "age %v right after the purge", w.last.Age)
+	w.purge(0, 9, w.now+2*time.Second) // from before the start: younger copies will do
+	w.ask(0, 9, 0)
+	w.blame(w.last.Age != w.now+2*time.Second, "age %v after a purge of long ago", w.last.Age)
 }
 
 // All caches of the location may be gone at once, as in a release: no answer may depend on there being one.
--- a/control/state.go
+++ b/control/state.go
@@ -142,10 +142,13 @@
 
 // Purge notes that copies from before now-ago must not be served.
 func (d *Director) Purge(now time.Duration, group uint32, obj uint64, ago time.Duration) {
+	at := now - ago // below zero where it was before the start
 	if obj == 0 {
-		d.purgedAll[group] = max(now-ago, d.purgedAll[group])
-	} else {
-		d.purged[obj] = max(now-ago, d.purged[obj])
+		if last, ok := d.purgedAll[group]; !ok || at > last {
+			d.purgedAll[group] = at
+		}
+	} else if last, ok := d.purged[obj]; !ok || at > last {
+		d.purged[obj] = at
 	}
 }
 
