A client that reads slowly is denied early, and no node is blamed for it

An answer that could not be held was told as the node's failure (Ending.outcome), so clients that do not read could have had healthy caches set aside.

--- a/director/ending.go
+++ b/director/ending.go
@@ -45,7 +45,7 @@
 		return control.Miss
 	case AnsweredFull, NoRoom:
 		return control.Full
-	case AnsweredFault, NoMemory:
+	case AnsweredFault:
 		return control.Failed
 	case AnsweredLate, NeverSent:
 		return control.Moot
@@ -53,7 +53,7 @@
 		return control.NoConnect
 	case Expired:
 		return control.TimedOut
-	case Withdrawn:
+	case Withdrawn, NoMemory: // no fault of the node's
 		return control.Cancelled
 	}
 	return control.Reset // it may have run
--- a/director/req.go
+++ b/director/req.go
@@ -126,8 +126,8 @@
 
 // enter hands the req to the module, unless too much is held.
 func (r *req) enter(a control.Ask) error {
-	if !r.hold(len(r.msg.Body)) {
-		return errMany
+	if r.from.bodies.Load() > r.d.bounds.clientBodies/2 || !r.hold(len(r.msg.Body)) {
+		return errMany // the answer could hardly be held
 	}
 	d := r.d
 	d.mu.Lock()
