--- a/resp/resp.go
+++ b/resp/resp.go
@@ -38,7 +38,9 @@
 	f := make([]byte, 0, 160)
 	f = append(append(f, "c="...), a.Vhost...)
 	f = append(append(f, ",k="...), a.Obj...)
-	f = append(append(f, ",p="...), a.Part...)
+	if a.Part != "" {
+		f = append(append(f, ",p="...), a.Part...)
+	}
 	f = strconv.AppendInt(append(f, ",w="...), max(1, a.Wait.Milliseconds()), 10)
 	if a.Idem != "" {
 		f = append(append(f, ",i="...), a.Idem...)
