A director that was held back reads what came before it fires its timers

Ruled out: lost connections (none in the log), the pause itself (3 s of 23 at one of three). At fault: Director.fire handed over timers due meanwhile before readers had run, so live caches were overdue, set aside and chilled; client.read counted the client timeout from the reading. Now the timers' task notes the gap and lets 10 ms of reading go first, what is read then counts from the gap's beginning, and the module leaves such times out (Outcome.Held). Guards pauses, lost cores and throttling alike; could harm only where a long gap is followed by slow answers that count for nothing, a handful each time.

--- a/control/control.go
+++ b/control/control.go
@@ -464,7 +464,9 @@
 		c.alive(now)
 		c.load.Add(now, 1)
 		c.work.Add(now, r.v.send.Seconds())
-		x.fit(d, o)
+		if !o.Held {
+			x.fit(d, o)
+		}
 		if o.Fill == Filled || o.Fill == FilledByOrigin {
 			s.alive(now)
 			s.work.Add(now, r.v.send.Seconds())
@@ -545,14 +547,14 @@
 	if o.Ending == Done && !d.sized(r) {
 		blame = min(1, crowdSign*d.lateShare)
 	}
-	if o.Ending == Done {
+	if o.Ending == Done && !o.Held {
 		d.lateShare -= d.lateShare * settle
 		if !good {
 			d.lateShare += settle
 		}
 	}
 	switch {
-	case x.lost, o.Ending == Cancelled && (!x.late || d.lossShare > lossy):
+	case x.lost, o.Held, o.Ending == Cancelled && (!x.late || d.lossShare > lossy):
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && o.Ending != Cancelled:
 	case x.expectHit || o.Fill == Hit:
 		d.adapt(&x.node.room, x.node.out, good, blame)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -274,6 +274,15 @@
 	}
 }
 
+// A director that was paused or had no core sees answers late that came in time: they blame nobody.
+func TestHeldBackBlamesNobody(t *testing.T) {
+	w := calm(t, 4)
+	first := w.serve(1, 7, 600*ms, Outcome{Fill: Hit, Held: true}).tries[0].node
+	c := w.d.nodes[first]
+	w.blame(c.strained > 0 || c.room != roomAtStart || w.d.lateShare > 0, "strain %v, room %v", c.strained, c.room)
+	w.blame(w.serve(1, 7, 20*ms, Outcome{Fill: Hit}).tries[0].node != first, "the next req goes elsewhere")
+}
+
 // A cache that refused connections is cold when it comes back, though the list has not told yet.
 func TestRefusedConnectionMeansColdAfterwards(t *testing.T) {
 	w := calm(t, 2)
--- a/control/types.go
+++ b/control/types.go
@@ -154,6 +154,7 @@
 	Waited   time.Duration // to the source's first byte or failure; 0: not told
 	Fill     Fill
 	Final    bool // the req is finished, by this or before it
+	Held     bool // the director itself was held back meanwhile: the times tell nothing
 }
 
 // What a director keeps. Objects point to each other; ids are used only at the door.
--- a/director/client.go
+++ b/director/client.go
@@ -62,7 +62,7 @@
 			c.close(ofRead(err), err)
 			return
 		}
-		came := c.d.clock.now()
+		came := c.d.clock.arrived()
 		switch m.Kind {
 		case msgpack.Call:
 			if err := c.call(newReq(c.d, c, m, came)); err != nil {
--- a/director/clock.go
+++ b/director/clock.go
@@ -2,15 +2,26 @@
 
 import (
 	"container/heap"
+	"sync"
 	"time"
 )
 
+const (
+	beat     = 20 * time.Millisecond // at least this often the task of the timers wakes;
+	heldBack = 60 * time.Millisecond // where it could not for so long, the process was paused or had no core.
+	catchUp  = 10 * time.Millisecond // What came meanwhile is read before timers say that it did not come.
+)
+
 // clock tells the time since the director's start, and holds the module's timers. The timers belong to the
 // director's lock.
 type clock struct {
 	start  time.Time
 	timers timers
 	sooner chan struct{} // the next timer is earlier than it was
+
+	mu          sync.Mutex
+	woke        time.Duration // when the task of the timers woke last
+	from, until time.Duration // the last time that it was held back, and what was read by then came meanwhile
 }
 
 func newClock() *clock { return &clock{start: time.Now(), sooner: make(chan struct{}, 1)} }
@@ -22,6 +33,31 @@
 	return time.UnixMilli(unixMilli).Sub(c.start.Round(0))
 }
 
+// wake notes that the task of the timers runs, and tells how long it is to let others catch up.
+func (c *clock) wake(now time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now-c.woke > heldBack {
+		c.from, c.until = c.woke, now+catchUp
+	}
+	c.woke = now
+	return c.until - now
+}
+
+// arrived is when what is read just now may have come, at the earliest.
+func (c *clock) arrived() time.Duration {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case now-c.woke > heldBack:
+		return c.woke
+	case now < c.until:
+		return c.from
+	}
+	return now
+}
+
 // after sets a timer of the module's.
 func (c *clock) after(wait time.Duration, token uint32) {
 	t := timer{due: c.now() + max(0, wait), token: token}
@@ -73,7 +109,11 @@
 		case <-wake.C:
 		case <-d.clock.sooner:
 		}
-		wake.Reset(d.fire())
+		left := d.clock.wake(d.clock.now())
+		if left <= 0 {
+			left = d.fire()
+		}
+		wake.Reset(min(left, beat))
 	}
 }
 
--- a/director/conn.go
+++ b/director/conn.go
@@ -234,7 +234,8 @@
 	case !x.r.hold(len(a.Body)):
 		e, a.Body = NoMemory, nil
 	}
-	x.answer = a
+	at := c.s.clock.arrived()
+	x.answer, x.held = a, x.at <= at && at < c.heard
 	x.finish(e)
 	c.less()
 	return nil
--- a/director/req.go
+++ b/director/req.go
@@ -195,7 +195,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	o := control.Outcome{Dispatch: x.number, Ending: x.ending.outcome(), Took: x.took, Waited: x.answer.Waited,
-		Fill: x.answer.Fill, Final: !r.owed}
+		Fill: x.answer.Fill, Final: !r.owed, Held: x.held}
 	if o.Ending == control.Done && r.owed {
 		r.owed, won, o.Final = false, true, true
 	}
