--- a/director/conn.go
+++ b/director/conn.go
@@ -101,22 +101,33 @@
 	}
 }
 
-// run dials, then writes what waits, until the connection ends.
+// run dials, then serves the connection until it ends.
 func (c *conn) run(addr netip.AddrPort) {
 	nc, err := c.s.dialer.Dial("tcp", addr.String())
 	if err != nil {
 		c.stop(NeverConnected, err)
 		return
 	}
-	c.s.mu.Lock()
-	if c.ended {
-		c.s.mu.Unlock()
+	if !c.up(nc) {
 		nc.Close()
 		return
 	}
-	c.nc, c.used, c.heard = nc, c.s.clock.now(), c.s.clock.now()
-	c.s.mu.Unlock()
 	go c.read(nc)
+	c.write(nc)
+}
+
+// up notes that the connection is up, unless it was given up meanwhile.
+func (c *conn) up(nc net.Conn) bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if !c.ended {
+		c.nc, c.used, c.heard = nc, c.s.clock.now(), c.s.clock.now()
+	}
+	return !c.ended
+}
+
+// write sends what waits until the connection ends.
+func (c *conn) write(nc net.Conn) {
 	for range c.wake {
 		for {
 			b, x := c.next()
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -478,6 +478,36 @@
 	w.expect(id, "", "whole")
 }
 
+// A connection that ends, or is given up as stuck, before a req was written whole: the req never ran.
+func TestSentInPart(t *testing.T) {
+	for _, stuck := range []bool{false, true} {
+		w := start(t, 1)
+		s := w.d.nodes
+		here, there := net.Pipe()
+		r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9)}
+		x := &dispatch{r: r, at: w.d.clock.now()}
+		x.ask.Body = make([]byte, 48000)
+		s.mu.Lock()
+		c := s.open(s.byID[1])
+		c.add(x)
+		s.mu.Unlock()
+		c.up(here)
+		go c.write(here)
+		if _, err := io.ReadFull(there, make([]byte, 10)); err != nil {
+			t.Fatal(err)
+		}
+		if stuck {
+			time.Sleep(2 * stuckAfter) // more does no harm
+			x.withdraw(Withdrawn)
+		} else {
+			there.Close()
+		}
+		if y := <-r.ends; y.ending != SentInPart {
+			t.Errorf("stuck %v: ended as %v", stuck, y.ending)
+		}
+	}
+}
+
 // What has waited to be written is void by then: drains and purges heard since would be passed over.
 func TestStaleOrders(t *testing.T) {
 	w := start(t, 1)
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -95,13 +95,19 @@
 			return
 		}
 		s.left--
-		c = &conn{s: s, n: n, open: map[string]*dispatch{}, wake: make(chan struct{}, 1)}
-		n.conns = append(n.conns, c)
+		c = s.open(n)
 		go c.run(n.addr)
 	}
 	c.add(x)
 }
 
+// open makes the record of a connection that is to come up.
+func (s *nodes) open(n *node) *conn {
+	c := &conn{s: s, n: n, open: map[string]*dispatch{}, wake: make(chan struct{}, 1)}
+	n.conns = append(n.conns, c)
+	return c
+}
+
 // pick finds the connection with the fewest reqs open. None may carry the same req twice, as an answer to the
 // first dispatch would pass for one to the second.
 func (n *node) pick(x *dispatch) (best *conn) {
