--- a/director/clock.go
+++ b/director/clock.go
@@ -109,9 +109,12 @@
 		case <-wake.C:
 		case <-d.clock.sooner:
 		}
-		left := d.clock.wake(d.clock.now())
+		now := d.clock.now()
+		left := d.clock.wake(now)
 		if left <= 0 {
 			left = d.fire()
+		} else if left == catchUp {
+			d.note.line(d.log.WithField("for", now-d.clock.from), "held back")
 		}
 		wake.Reset(min(left, beat))
 	}
--- a/director/note.go
+++ b/director/note.go
@@ -7,7 +7,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// note writes log lines about connections at a bounded rate, since many may end at once.
+// note writes log lines at a bounded rate, since many connections may end at once.
 type note struct {
 	log *logrus.Entry
 
@@ -23,16 +23,21 @@
 	if open == 0 && (e == Closed || e == Stopped || e == Cut) {
 		return
 	}
+	log := n.log.WithFields(logrus.Fields{"ending": e.String(), "open": open})
+	if err != nil {
+		log = log.WithError(err)
+	}
+	n.line(log, what)
+}
+
+// line writes one, unless there was one just now.
+func (n *note) line(log *logrus.Entry, what string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if time.Now().Before(n.next) {
 		n.skipped++
 		return
 	}
-	log := n.log.WithFields(logrus.Fields{"ending": e.String(), "open": open, "skipped": n.skipped})
-	if err != nil {
-		log = log.WithError(err)
-	}
-	log.Info(what)
+	log.WithField("skipped", n.skipped).Info(what)
 	n.next, n.skipped = time.Now().Add(noteEach), 0
 }
