--- a/director/director_test.go
+++ b/director/director_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -17,6 +18,7 @@
 
 	"indigochute.example/indigochute/config"
 	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
 )
 
 const patience = 10 * time.Second // far more than anything here takes
@@ -478,6 +480,38 @@
 	w.expect(id, "", "whole")
 }
 
+// A node that the feed lists at another address, or started anew, gets nothing more over its old connections; a new
+// node may have the address of one that has gone.
+func TestNodesMove(t *testing.T) {
+	w := start(t, 2)
+	ask := func() asked {
+		id := w.call("page", 5000, "")
+		a := w.next("GET")
+		a.reply(t, "HIT", "-", "")
+		w.expect(id, "", "")
+		return a
+	}
+	addr := func(i int) netip.AddrPort { return netip.MustParseAddrPort(w.nodes[i].Addr().String()) }
+	home := ask().node
+	m := feed.Machine{ID: uint32(home + 1), Addr: addr(1 - home), State: control.Ready}
+	other := feed.Machine{ID: uint32(2 - home), Addr: addr(1 - home), State: control.Gone}
+	hear := func(machines ...feed.Machine) {
+		if err := w.d.hear(feed.Event{Number: w.d.last + 1, Machines: machines}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hear(other, m)
+	before := ask()
+	if before.node != 1-home {
+		t.Fatal("asked at the old address")
+	}
+	m.BornUnix = time.Now().UnixMilli() - time.Minute.Milliseconds()
+	hear(m)
+	if after := ask(); after.node != before.node || after.conn == before.conn {
+		t.Error("asked over the connection from before its start")
+	}
+}
+
 // A connection that ends, or is given up as stuck, before a req was written whole: the req never ran.
 func TestSentInPart(t *testing.T) {
 	for _, stuck := range []bool{false, true} {
