--- a/config/config.go
+++ b/config/config.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"indigochute.example/indigochute/control"
@@ -112,7 +111,11 @@
 	if s.err != nil {
 		return nil, s.err
 	}
-	c.Last, c.Known, err = feed.Known(parts.Known, strings.Split(s.m["zones"], ","), strings.Split(s.m["models"], ","))
+	var names struct{ Zones, Models []string } // as they are, commas and all
+	if err := json.Unmarshal(parts.Settings, &names); err != nil {
+		return nil, fmt.Errorf("settings.zones, settings.models: %w", err)
+	}
+	c.Last, c.Known, err = feed.Known(parts.Known, names.Zones, names.Models)
 	return c, err
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -9,14 +9,14 @@
 
 const good = `{"name":"n3","listen":"10.0.0.4:8443","seed":"8c1f30d27a5be964","journal":"10.2.0.1:2379",
  "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},"flow_bytes_per_s":310000,
- "known":{"pos":1,"entries":[{"hosts":{"hosts":[{"host":"s-331d10af","dial":"10.1.0.1:1","site":"east","class":"box",
+ "known":{"pos":1,"entries":[{"hosts":{"hosts":[{"host":"s-331d10af","dial":"10.1.0.1:1","site":"east, far","class":"box",
   "health":"SERVING"}]},"pos":1}]},
  "settings":{"classes":[{"name":"clip","aim":400000,"aimStretch":2.0,"deadline":6000000,"group":"all","window":5000000,
   "idempotency":"read_like"},{"name":"log","aim":600000,"deadline":3000000,"group":"zone","idempotency":"idempotency_key",
   "window":3000000}],"domain":{"classFresh":[0,12000000],"classGrace":[0,1],"hubOf":[0,1],"inParts":[true,false],
   "mayPassBy":true,"midKind":1,"sourceKind":2,"passOn":[false,true],"zoneBalancers":[1,2],"parentFloor":0.075},
   "instances":3,"limits":{"cancel":true,"sendCap":8,"dialTimeout":250000},"me":2,"models":["box","mid","root"],
-  "rules":{"fallMultiple":3.0,"rampTime":17000000,"tipAfter":3000000},"tenants":[],"zone":1,"zones":["west","east"]}}`
+  "rules":{"fallMultiple":3.0,"rampTime":17000000,"tipAfter":3000000},"tenants":[],"zone":1,"zones":["west","east, far"]}}`
 
 const text = `classes.count=2
 classes.0.aim=400000
@@ -79,7 +79,7 @@
 		{`"known"`, `"unknown"`, "known"}, {`"settings"`, `"set"`, "settings"},
 		{`"name":"log",`, ``, "settings.classes.1.name"}, {`"deadline":3000000,`, ``, "settings.classes.1.deadline"},
 		{`"read_like"`, `"readlike"`, "settings.classes.0.idempotency"}, {`"sendCap":8`, `"sendCap":800`, "settings.limits.sendCap"},
-		{`"zone":1`, `"zone":"east"`, "settings.zone"}, {`"site":"east"`, `"site":"south"`, "known.entries.0.hosts.hosts.0.site"},
+		{`"zone":1`, `"zone":"east"`, "settings.zone"}, {`"site":"east, far"`, `"site":"south"`, "known.entries.0.hosts.hosts.0.site"},
 		{`"rampTime":17000000,`, ``, "settings.rules.rampTime"}, {`"instances":3,`, ``, "settings.instances"},
 	} {
 		bad := strings.Replace(good, c[0], c[1], 1)
--- a/director/clock.go
+++ b/director/clock.go
@@ -98,7 +98,7 @@
 	return last
 }
 
-// run hands the module its timers until the director stops.
+// runTimers hands the module its timers until the director stops.
 func (d *Director) runTimers(stop <-chan struct{}) {
 	wake := time.NewTimer(0)
 	defer wake.Stop()
