--- a/director/director_test.go
+++ b/director/director_test.go
@@ -432,6 +432,25 @@
 	w.expect(id, "", "")
 }
 
+// A client that does not read holds up nobody else, and has its whole answer once it does.
+func TestSlowReader(t *testing.T) {
+	w := start(t, 1)
+	here, there := net.Pipe() // takes nothing that is not read
+	go newClient(w.d, here).read()
+	quick := w.nc
+	w.nc = there
+	first := w.call("log", 8000, "")
+	big := strings.Repeat("x", 240000)
+	w.next("GET").reply(t, "HIT", "-", big)
+	w.nc = quick
+	second := w.call("log", 8000, "")
+	w.next("GET").reply(t, "HIT", "-", "y")
+	w.expect(second, "", "y")
+	w.in = bufio.NewReader(there)
+	w.expect(first, "", big)
+	there.Close()
+}
+
 // A dispatch given up is remembered on its connection: the same req goes to that node on another one.
 func TestSameReqTwiceAtANode(t *testing.T) {
 	w := start(t, 1)
