One place names a connection's ending from an error; twins and a dead case folded

Found on reading the change once more, behaviour as before: ofWrite had become a copy of ofRead; conn.less repeated retire; conn.end had a case that the next one covers; the error of req.enter was only compared with nil; two places logged a panic alike; four defaults were four ifs; tests repeated one exchange.

--- a/config/config.go
+++ b/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -143,22 +144,10 @@
 	p.need("zone", "the director's place in zones")
 	p.need("zones", "a list of names")
 	p.need("models", "a list of names")
-	c.DialTimeout = max(0, p.micros("limits.dialTimeout"))
-	c.ConnIdle = max(0, p.micros("limits.connIdle"))
-	c.Streams = max(0, p.whole("limits.maxStreams"))
-	c.MostOpen = max(0, p.whole("limits.maxOpen"))
-	if c.DialTimeout == 0 {
-		c.DialTimeout = defaultDialTimeout
-	}
-	if c.ConnIdle == 0 {
-		c.ConnIdle = defaultConnIdle
-	}
-	if c.Streams == 0 {
-		c.Streams = defaultStreams
-	}
-	if c.MostOpen == 0 {
-		c.MostOpen = defaultMostOpen
-	}
+	c.DialTimeout = cmp.Or(max(0, p.micros("limits.dialTimeout")), defaultDialTimeout)
+	c.ConnIdle = cmp.Or(max(0, p.micros("limits.connIdle")), defaultConnIdle)
+	c.Streams = cmp.Or(max(0, p.whole("limits.maxStreams")), defaultStreams)
+	c.MostOpen = cmp.Or(max(0, p.whole("limits.maxOpen")), defaultMostOpen)
 	c.Settings = settings(p)
 	c.Settings.Seed = seed
 }
--- a/director/client.go
+++ b/director/client.go
@@ -19,10 +19,7 @@
 	tasksEach   = 64               // of one client: twice the reqs that it may have open, as ended ones linger
 )
 
-var (
-	errAgain = errors.New("a message id is used again while it is open")
-	errMany  = errors.New("over a bound")
-)
+var errAgain = errors.New("a message id is used again while it is open")
 
 // client is one connection of a client.
 type client struct {
@@ -59,7 +56,7 @@
 		c.nc.SetReadDeadline(time.Now().Add(messageTime))
 		m, err := in.Read()
 		if err != nil {
-			c.close(ofRead(err), err)
+			c.close(endingOf(err), err)
 			return
 		}
 		came := c.d.clock.arrived()
@@ -148,7 +145,7 @@
 	c.nc.SetWriteDeadline(time.Now().Add(writeTime))
 	buffers := net.Buffers(parts)
 	if _, err := buffers.WriteTo(c.nc); err != nil {
-		c.close(ofWrite(err), err)
+		c.close(endingOf(err), err)
 	}
 }
 
--- a/director/conn.go
+++ b/director/conn.go
@@ -89,11 +89,12 @@
 func (c *conn) less() {
 	c.live--
 	c.used = c.s.clock.now()
-	if c.retired && c.live == 0 {
-		c.end(Stopped, nil)
+	if c.retired {
+		c.retire()
 	}
 }
 
+// retire lets the connection take no more reqs; it ends with the last.
 func (c *conn) retire() {
 	c.retired = true
 	if c.live == 0 {
@@ -136,7 +137,7 @@
 			}
 			nc.SetWriteDeadline(time.Now().Add(sendTime))
 			if _, err := nc.Write(b); err != nil {
-				c.stop(ofWrite(err), err)
+				c.stop(endingOf(err), err)
 				return
 			}
 			c.written(x)
@@ -203,7 +204,7 @@
 		a, err := resp.Read(in)
 		nc.SetReadDeadline(time.Time{})
 		if err != nil {
-			c.stop(ofRead(err), err)
+			c.stop(endingOf(err), err)
 			return
 		}
 		if err := c.answer(a); err != nil {
@@ -276,8 +277,6 @@
 	}
 	for _, x := range c.open {
 		switch {
-		case e == NeverConnected:
-			x.finish(NeverConnected)
 		case !x.begun:
 			x.finish(NeverConnected)
 		case x.wrote == 0:
--- a/director/director.go
+++ b/director/director.go
@@ -77,10 +77,14 @@
 // defect, deferred, logs a panic and goes on.
 func (d *Director) defect(where string) {
 	if fault := recover(); fault != nil {
-		d.log.WithField("panic", fault).Errorf("%s: %s", where, debug.Stack())
+		d.panicked(where, fault)
 	}
 }
 
+func (d *Director) panicked(where string, fault any) {
+	d.log.WithField("panic", fault).Errorf("%s: %s", where, debug.Stack())
+}
+
 // hand gives a step to the req's task. A req whose task failed is no more.
 func (d *Director) hand(id uint32, step func(*req)) {
 	if r := d.reqs[id]; r != nil {
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -229,6 +229,16 @@
 	return b
 }
 
+// serves sees a req through: a node answers it, the client has the answer.
+func (w *world) serves(vhost, body, fields, answer string) asked {
+	w.t.Helper()
+	id := w.call(vhost, 5000, body)
+	a := w.next("GET")
+	a.reply(w.t, "HIT", fields, answer)
+	w.expect(id, "", answer)
+	return a
+}
+
 func (w *world) expect(id uint32, word, body string) {
 	w.t.Helper()
 	if gotID, gotWord, gotBody := w.answer(); gotID != id || gotWord != word || gotBody != body {
@@ -322,9 +332,7 @@
 		closed = len(w.d.nodes.byID[uint32(home.node+1)].conns) == 0
 		w.d.nodes.mu.Unlock()
 	}
-	id = w.call("order", 5000, "x")
-	w.next("GET").reply(t, "HIT", "-", "")
-	w.expect(id, "", "")
+	w.serves("order", "x", "-", "")
 }
 
 // A node that takes reqs and answers none: the final answer comes before the client timeout, and the node is
@@ -340,9 +348,7 @@
 		t.Errorf("dropped %q", drop.id)
 	}
 	a.reply(t, "HIT", "note=cached", "late")
-	id = w.call("page", 5000, "")
-	w.next("GET").reply(t, "HIT", "note=cached", "in time")
-	w.expect(id, "", "in time")
+	w.serves("page", "", "note=cached", "in time")
 }
 
 func TestClientCancels(t *testing.T) {
@@ -354,9 +360,7 @@
 		t.Errorf("dropped %q", drop.id)
 	}
 	a.reply(t, "HIT", "-", "nobody waits")
-	id = w.call("page", 5000, "")
-	w.next("GET").reply(t, "HIT", "-", "here")
-	w.expect(id, "", "here")
+	w.serves("page", "", "-", "here")
 }
 
 // What cannot be read costs its own connection only.
@@ -421,15 +425,13 @@
 	}
 	w.d.bodies.Add(-w.d.bounds.bodies)
 	slow := &req{d: w.d, from: &client{}}
-	if !slow.hold(int(w.d.bounds.clientBodies/2)+1) || slow.enter(control.Ask{}) == nil {
+	if !slow.hold(int(w.d.bounds.clientBodies/2)+1) || slow.enter(control.Ask{}) {
 		t.Error("a client that holds half of its bound is not denied")
 	}
 	if slow.hold(int(w.d.bounds.clientBodies/2)) || w.d.bodies.Load() != slow.held.Load() {
 		t.Error("over the bound, or counted wrongly")
 	}
-	id = w.call("order", 5000, "x")
-	w.next("GET").reply(t, "HIT", "-", "")
-	w.expect(id, "", "")
+	w.serves("order", "x", "-", "")
 }
 
 // A client that does not read holds up nobody else, and has its whole answer once it does.
@@ -503,13 +505,7 @@
 // node may have the address of one that has gone.
 func TestNodesMove(t *testing.T) {
 	w := start(t, 2)
-	ask := func() asked {
-		id := w.call("page", 5000, "")
-		a := w.next("GET")
-		a.reply(t, "HIT", "-", "")
-		w.expect(id, "", "")
-		return a
-	}
+	ask := func() asked { return w.serves("page", "", "-", "") }
 	addr := func(i int) netip.AddrPort { return netip.MustParseAddrPort(w.nodes[i].Addr().String()) }
 	home := ask().node
 	m := feed.Machine{ID: uint32(home + 1), Addr: addr(1 - home), State: control.Ready}
--- a/director/ending.go
+++ b/director/ending.go
@@ -18,7 +18,7 @@
 	Stopped                      // we closed it, with nothing open on it
 	Cut                          // broken off, or closed within a message
 	Unreadable                   // what came cannot be read; not trusted further
-	Stalled                      // the other side took nothing for too long
+	Stalled                      // the other side took nothing, or left off amid a message, for too long
 	NeverConnected               // refused, unreachable, or not up in time
 	NeverSent                    // the req had ended before anything of it was written
 	NoRoom                       // no socket left to send it on
@@ -76,8 +76,8 @@
 	return AnsweredFault
 }
 
-// ofRead tells from an error of a read how the connection ended.
-func ofRead(err error) Ending {
+// endingOf tells from an error of a read or a write how the connection ended.
+func endingOf(err error) Ending {
 	var broken net.Error
 	switch {
 	case err == io.EOF:
@@ -92,14 +92,6 @@
 	return Unreadable
 }
 
-// ofWrite tells it from an error of a write.
-func ofWrite(err error) Ending {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return Stalled
-	}
-	return ofRead(err)
-}
-
 var endings = [...]string{"closed", "stopped", "cut", "unreadable", "stalled", "never connected", "never sent",
 	"no room", "no memory", "sent in part", "lost", "withdrawn", "expired", "hit", "same", "none", "full", "fault", "late"}
 
--- a/director/req.go
+++ b/director/req.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -55,7 +54,7 @@
 		r.abort(err.Error())
 		return
 	}
-	if err := r.enter(ask); err != nil {
+	if !r.enter(ask) {
 		r.deny(0) // nothing of it was sent
 		return
 	}
@@ -125,22 +124,22 @@
 }
 
 // enter hands the req to the module, unless too much is held.
-func (r *req) enter(a control.Ask) error {
+func (r *req) enter(a control.Ask) bool {
 	if r.from.bodies.Load() > r.d.bounds.clientBodies/2 || !r.hold(len(r.msg.Body)) {
-		return errMany // the answer could hardly be held
+		return false // the answer could hardly be held
 	}
 	d := r.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.reqs) >= d.bounds.reqs {
-		return errMany
+		return false
 	}
 	for d.lastID++; d.reqs[d.lastID] != nil; d.lastID++ { // the count has come round
 	}
 	r.id, a.ID, r.owed = d.lastID, d.lastID, true
 	d.reqs[r.id] = r
 	d.dir.Req(d.clock.now(), a)
-	return nil
+	return true
 }
 
 // hold counts a body that the req holds until its end, unless all bodies together, or its client's, are over
@@ -243,7 +242,7 @@
 // end forgets the req. A panic in its task is a defect; it costs this req alone.
 func (r *req) end() {
 	if fault := recover(); fault != nil {
-		r.d.log.WithField("panic", fault).Errorf("req: %s", debug.Stack())
+		r.d.panicked("req", fault)
 		r.tellLeft()
 		r.abort("defect")
 		for n := range r.sent {
