Silent clients make room for new ones; SIGHUP moves the feed

Ruled out: caches (their answers stayed at 85 ms in the median), CPU (0.07 of a core) and memory (18 of 48 MB). At fault: listener.accept waited for a place at a third of the sockets, and client.go kept a connection without an open req for 30 s. Now accepting never waits: a connection on which nothing is open makes room, one that never asked anything first. A first whole message is due within 2 s, a connection idle for 6 s is closed, and a message that cannot be read on from gets an error under its id before the close. It now reads the file again and the feed goes on at the new address from the number held; a faulty file changes nothing.

--- a/cmd/indigochute/main.go
+++ b/cmd/indigochute/main.go
@@ -58,6 +58,8 @@
 }
 
 func serve(errs io.Writer, verbose bool) error {
+	again := make(chan os.Signal, 1) // one kept while another is worked at: what comes then is read all the same
+	signal.Notify(again, syscall.SIGHUP)
 	conf, err := config.FromEnv()
 	if err != nil {
 		return err
@@ -72,7 +74,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	director.Limit(conf)
-	return director.New(conf, log.WithField("name", conf.Name)).Run(ctx)
+	return director.New(conf, log.WithField("name", conf.Name)).Run(ctx, again, config.FromEnv)
 }
 
 func check(out io.Writer, path string) error {
--- a/director/bounds.go
+++ b/director/bounds.go
@@ -21,12 +21,12 @@
 	perReq = 16 << 10 // of a req without its body: stack, buffers, records
 )
 
-// split divides sockets and memory: a third of the sockets for clients, a third for nodes, the rest for the
-// feed, the listener and to spare. A quarter of the memory each for reqs and for bodies.
+// split divides sockets and memory: a third of the sockets for clients and half as many for those who are being
+// turned away, a third for nodes, the rest for the feed, the listener and to spare. A quarter of the memory each for reqs and for bodies.
 func split(conf *config.Config) bounds {
 	bodies := int64(conf.MemoryMB) * mb / 4
 	return bounds{
-		clientSockets: max(1, conf.Sockets/3),
+		clientSockets: max(1, conf.Sockets/2),
 		nodeSockets:   max(1, conf.Sockets/3),
 		reqs:          max(1, min(conf.MostOpen, conf.MemoryMB*mb/4/perReq)),
 		bodies:        bodies,
--- a/director/client.go
+++ b/director/client.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	clientIdle  = 30 * time.Second // without an open req; clients close theirs sooner
-	messageTime = 10 * time.Second // that one message may take once it has begun
+	firstTime   = 2 * time.Second  // from connecting until a whole message has come
+	clientIdle  = 6 * time.Second  // without an open req; clients close theirs sooner
+	messageTime = 2 * time.Second  // that one message may take once it has begun
+	lingerTime  = time.Second      // for an error to arrive before its connection is closed
 	writeTime   = 10 * time.Second // that one answer may take to leave; after that the client is gone
 	tasksEach   = 64               // of one client: twice the reqs that it may have open, as ended ones linger
 )
@@ -29,6 +31,8 @@
 
 	mu     sync.Mutex
 	open   map[uint32]*req // by message id; until the answer is written
+	asked  bool            // a whole message has come
+	heard  time.Duration   // when one came or was answered last, or the connection
 	shut   bool
 	closes *time.Timer // set once no more is answered
 
@@ -37,29 +41,39 @@
 }
 
 func newClient(d *Director, nc net.Conn) *client {
-	return &client{d: d, nc: nc, tasks: make(chan struct{}, tasksEach), open: map[uint32]*req{}}
+	return &client{d: d, nc: nc, tasks: make(chan struct{}, tasksEach), open: map[uint32]*req{},
+		heard: d.clock.now()}
 }
 
 // read takes the connection's messages until it ends, then tells the reqs open on it that their client left.
 func (c *client) read() {
 	buffered := bufio.NewReaderSize(c.nc, 4<<10)
 	in := msgpack.NewReader(buffered)
-	for {
-		c.nc.SetReadDeadline(time.Now().Add(clientIdle))
-		if _, err := buffered.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
-			if !c.idle() {
-				continue
+	c.nc.SetReadDeadline(time.Now().Add(firstTime))
+	for first := true; ; first = false {
+		if !first {
+			c.nc.SetReadDeadline(time.Now().Add(clientIdle))
+			if _, err := buffered.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+				if _, _, idle := c.silence(); !idle {
+					continue
+				}
+				c.close(Stopped, nil)
+				return
 			}
-			c.close(Stopped, nil)
-			return
+			c.nc.SetReadDeadline(time.Now().Add(messageTime))
 		}
-		c.nc.SetReadDeadline(time.Now().Add(messageTime))
 		m, err := in.Read()
 		if err != nil {
+			if m.Numbered && endingOf(err) == Unreadable {
+				c.refuse(m.ID, err)
+			}
 			c.close(endingOf(err), err)
 			return
 		}
 		came := c.d.clock.arrived()
+		c.mu.Lock()
+		c.asked, c.heard = true, came
+		c.mu.Unlock()
 		switch m.Kind {
 		case msgpack.Call:
 			if err := c.call(newReq(c.d, c, m, came)); err != nil {
@@ -112,30 +126,49 @@
 	defer c.mu.Unlock()
 	if c.open[r.msg.ID] == r {
 		delete(c.open, r.msg.ID)
+		c.heard = c.d.clock.now()
 	}
 }
 
-func (c *client) idle() bool {
+// silence tells since when nothing was heard of a client, whether it ever asked anything, and whether nothing is
+// open on its connection.
+func (c *client) silence() (heard time.Duration, asked, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) == 0
+	return c.heard, c.asked, len(c.open) == 0
 }
 
 // close ends the connection; the reqs open on it have lost their client.
 func (c *client) close(e Ending, err error) {
+	c.nc.Close()
+	if left, first := c.abandon(); first {
+		c.d.clients.leave(c)
+		c.d.note.connection("client connection", e, err, left)
+	}
+}
+
+// abandon tells the reqs open on the connection that their client has left.
+func (c *client) abandon() (left int, first bool) {
 	c.mu.Lock()
-	first := !c.shut
+	first = !c.shut
 	c.shut = true
-	left := c.open
+	open := c.open
 	c.open = map[uint32]*req{}
 	c.mu.Unlock()
-	c.nc.Close()
-	for _, r := range left {
+	for _, r := range open {
 		r.leave()
 	}
-	if first {
-		c.d.note.connection("client connection", e, err, len(left))
+	return len(open), first
+}
+
+// refuse answers a message that cannot be read on from. What else the client still writes is not read, whatever its
+// size, but the connection is kept for a while: closing over bytes that are not read may take the answer back.
+func (c *client) refuse(id uint32, why error) {
+	c.write(msgpack.Aborted(id, why.Error()))
+	if half, ok := c.nc.(*net.TCPConn); ok {
+		half.CloseWrite()
 	}
+	time.Sleep(lingerTime)
 }
 
 // write sends one answer whole.
--- a/director/director.go
+++ b/director/director.go
@@ -4,6 +4,7 @@
 package director
 
 import (
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,8 @@
 	clock  *clock
 
 	note    *note
-	clients sync.Map     // *client, those connected
+	moves   chan netip.AddrPort // where the journal service is from now on; one place, the newest counts
+	clients clients
 	leaving atomic.Bool  // the signal to end has come
 	bodies  atomic.Int64 // bytes held
 
@@ -41,10 +43,11 @@
 // New makes a director that knows what its configuration tells.
 func New(conf *config.Config, log *logrus.Entry) *Director {
 	d := &Director{conf: conf, log: log, vhosts: map[string]int{}, bounds: split(conf), clock: newClock(),
-		note: &note{log: log}, reqs: map[uint32]*req{}}
+		note: &note{log: log}, moves: make(chan netip.AddrPort, 1), reqs: map[uint32]*req{}}
 	for i, name := range conf.Vhosts {
 		d.vhosts[name] = i
 	}
+	d.clients = clients{most: d.bounds.clientSockets, all: map[*client]bool{}}
 	d.nodes = newNodes(conf, d.bounds.nodeSockets, d.clock, d.note)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/director/feed.go
+++ b/director/feed.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"indigochute.example/indigochute/control"
@@ -15,33 +17,54 @@
 	feedDial    = time.Second
 )
 
-// follow keeps up with the journal service until the director stops.
+// follow keeps up with the journal service, wherever it moves, until the director stops.
 func (d *Director) follow(stop <-chan struct{}) {
+	at := d.conf.Journal
 	told := "" // one line for each new fault, none for each try
 	for {
-		heard, err := d.followOnce(stop)
-		if heard {
-			told = ""
+		ctx, leave := context.WithCancel(context.Background())
+		type end struct {
+			heard bool
+			err   error
 		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(feedAgain):
-		}
-		if err != nil && err.Error() != told {
-			told = err.Error()
-			d.log.WithError(err).Warn("feed: lost, connecting until it is back")
+		ended := make(chan end, 1)
+		go func() {
+			heard, err := d.followOnce(ctx, at)
+			ended <- end{heard, err}
+		}()
+		var wait <-chan time.Time // after an end, before the next try
+		for moved := false; !moved; {
+			select {
+			case <-stop:
+				leave()
+				return
+			case at = <-d.moves:
+				leave() // a dial, a read or a wait under way ends at once
+				moved, told = true, ""
+			case e := <-ended:
+				wait = time.After(feedAgain)
+				if fault := e.err.Error(); e.heard || fault != told {
+					told = fault
+					d.log.WithError(e.err).Warn("feed: lost, connecting until it is back")
+				}
+			case <-wait:
+				moved = true
+			}
 		}
+		leave()
 	}
 }
 
-// followOnce reads events off one connection until that ends or cannot be trusted. It tells whether any came.
-func (d *Director) followOnce(stop <-chan struct{}) (heard bool, err error) {
-	nc, err := net.DialTimeout("tcp", d.conf.Journal.String(), feedDial)
+// followOnce reads events off one connection until that ends, cannot be trusted or is no longer wanted. It tells
+// whether any came.
+func (d *Director) followOnce(ctx context.Context, at netip.AddrPort) (heard bool, err error) {
+	dialer := net.Dialer{Timeout: feedDial}
+	nc, err := dialer.DialContext(ctx, "tcp", at.String())
 	if err != nil {
 		return false, err
 	}
 	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	d.mu.Lock()
 	last := d.last
 	d.mu.Unlock()
@@ -53,15 +76,10 @@
 	for {
 		nc.SetReadDeadline(time.Now().Add(feedSilence))
 		e, err := feed.Read(in)
-		if err != nil {
-			return heard, err
+		if err == nil {
+			err = d.hear(e)
 		}
-		select {
-		case <-stop:
-			return heard, nil
-		default:
-		}
-		if err := d.hear(e); err != nil {
+		if err != nil {
 			return heard, err
 		}
 		heard = true
--- /dev/null
+++ b/director/reload.go
@@ -0,0 +1,34 @@
+package director
+
+import (
+	"os"
+
+	"indigochute.example/indigochute/config"
+)
+
+// reloads reads the configuration anew at each signal until the director stops.
+func (d *Director) reloads(stop <-chan struct{}, again <-chan os.Signal, read func() (*config.Config, error)) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-again:
+			d.reload(read())
+		}
+	}
+}
+
+// reload takes from a configuration read anew where the journal service is; the rest holds from the start on, and
+// what is open stays open. With a faulty one all stays as it is.
+func (d *Director) reload(conf *config.Config, err error) {
+	if err != nil {
+		d.log.WithError(err).Error("reload: faulty, the configuration in force stays")
+		return
+	}
+	d.log.WithField("journal", conf.Journal).Info("reload")
+	select {
+	case <-d.moves: // not seen yet, and out of date
+	default:
+	}
+	d.moves <- conf.Journal
+}
--- a/director/shutdown.go
+++ b/director/shutdown.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
+
+	"indigochute.example/indigochute/config"
 )
 
 // After the signal to end, clients connect and ask for some tenths of a second more; all that is left is
@@ -15,12 +18,16 @@
 	lookEach   = 5 * time.Millisecond
 )
 
-// Run serves until the context ends, then until nothing is owed.
-func (d *Director) Run(ctx context.Context) error {
+// Run serves until the context ends, then until nothing is owed. At each signal to do so it reads the
+// configuration again.
+func (d *Director) Run(ctx context.Context, again <-chan os.Signal, read func() (*config.Config, error)) error {
 	l, err := net.Listen("tcp", d.conf.Listen.String())
 	if err != nil {
 		return err
 	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go d.reloads(stop, again, read)
 	d.serve(ctx, l)
 	return nil
 }
@@ -38,7 +45,7 @@
 	d.log.Info("leaving")
 	time.Sleep(lateComers)
 	l.Close()
-	for d.connected(func(c *client) { c.finish(goodbye) }) > 0 { // what crosses this is sent again elsewhere
+	for d.clients.each(func(c *client) { c.finish(goodbye) }) > 0 { // what crosses this is sent again elsewhere
 		if time.Since(signalled) > leaveAfter {
 			d.abortAll()
 		}
@@ -47,16 +54,6 @@
 	d.log.Info("nothing is owed any more")
 }
 
-// connected counts the clients, after doing something with each.
-func (d *Director) connected(do func(*client)) (n int) {
-	d.clients.Range(func(c, _ any) bool {
-		do(c.(*client))
-		n++
-		return true
-	})
-	return n
-}
-
 // abortAll gives every open req its final answer, which promises nothing.
 func (d *Director) abortAll() {
 	d.mu.Lock()
--- a/msgpack/msgpack.go
+++ b/msgpack/msgpack.go
@@ -38,6 +38,8 @@
 	ID    uint32 // of the message, or of the one to cancel
 	Vhost string
 
+	Numbered bool // of a call: the id was read, so that an answer is possible even where the rest cannot be read
+
 	Req     string // the client's id of it
 	Timeout time.Duration
 	Idem    string
@@ -62,10 +64,10 @@
 		return m, err
 	}
 	n, err := r.array()
-	if err != nil {
-		return m, cutOff(err)
+	if err == nil {
+		err = r.message(n, &m)
 	}
-	return m, cutOff(r.message(n, &m))
+	return m, cutOff(err)
 }
 
 func cutOff(err error) error {
@@ -97,7 +99,7 @@
 	if id > 1<<32-1 {
 		return errShape
 	}
-	m.ID = uint32(id)
+	m.ID, m.Numbered = uint32(id), true
 	if m.Vhost, err = r.text(mostMethod); err != nil {
 		return err
 	}
