Unknown copies count as fills only by the share that lately were

Ruled out: budgets of cold caches (all open), caches set aside (none), further dispatches (25 saved). At fault: send counted every dispatch to a cache not known to hold the part as a fill, though after a start nothing is known and most are hits. Now it counts as the share of such dispatches that filled lately.

--- a/control/control.go
+++ b/control/control.go
@@ -176,7 +176,7 @@
 func (d *Director) guard(now time.Duration, r *req, pick *node, order []*node) *node {
 	mean, least := 0.0, math.Inf(1)
 	for _, c := range order {
-		mean += float64(c.out) / float64(len(order))
+		mean += c.out / float64(len(order))
 		least = min(least, d.strain(c))
 	}
 	var second *node
@@ -192,7 +192,7 @@
 		if d.holds(now, r, c) {
 			bound += holderPlus
 		}
-		if float64(c.out) > bound || d.strain(c) > crowdStrain*least {
+		if c.out > bound || d.strain(c) > crowdStrain*least {
 			if second == nil || c.out < second.out {
 				second = c
 			}
@@ -217,8 +217,8 @@
 }
 
 // fits tells whether a room has place for one more; what is left below one is a chance.
-func fits(out int, room float64, drawn uint64) bool {
-	left := room - float64(out)
+func fits(out, room float64, drawn uint64) bool {
+	left := room - out
 	return left >= 1 || left > 0 && unit(drawn) < left
 }
 
@@ -366,14 +366,13 @@
 	x.node.out++
 	x.overdue = now + d.patience(r)
 	if !x.expectHit {
-		d.fills++
+		x.fill = math.Ceil(16*d.fillShare) / 16 // so that sums stay exact
 	}
+	d.fills += x.fill
 	d.outs = append(d.outs, x)
 	x.node.credit -= r.v.send.Seconds() // of no weight while it is warm
 	if x.source.role != cache {
-		if !x.expectHit {
-			x.source.out++
-		}
+		x.source.out += x.fill
 		x.source.credit -= r.v.send.Seconds()
 	}
 	if r.mayRun == nil {
@@ -408,11 +407,6 @@
 	d.front.Abort(r.id)
 }
 
-// repeatable tells whether a req of the vhost may run again at any cache.
-func (v *vhost) repeatable() bool {
-	return v.Effect == Replayable || v.Effect == Uniqued && v.Group == GroupAll
-}
-
 // Outcome takes the end of a dispatch.
 func (d *Director) Outcome(now time.Duration, id uint32, o Outcome) {
 	r := d.reqs[id]
@@ -467,6 +461,12 @@
 		if !o.Held {
 			x.fit(d, o)
 		}
+		// A director that knows no copies yet, as after its start, would else take every hit for a fill of the link.
+		if !x.expectHit && c.role == cache {
+			if d.fillShare -= d.fillShare * 2 * settle; o.Fill != Hit {
+				d.fillShare += 2 * settle
+			}
+		}
 		if o.Fill == Filled || o.Fill == FilledByOrigin {
 			s.alive(now)
 			s.work.Add(now, r.v.send.Seconds())
@@ -575,25 +575,20 @@
 	return min(mostSlack, float64(d.aim(r))/float64(d.expected(r)+1)/usualSlack)
 }
 
-// aim is how long a req's answer may take.
-func (d *Director) aim(r *req) time.Duration {
-	return min(r.v.Timeout, r.v.Aim+time.Duration(r.v.Stretch*float64(d.expected(r))))
-}
-
 // atStart is this director's part of a starting room.
 func (d *Director) atStart(room float64) float64 { return room * max(partAtStart, 1/d.set.here) }
 
 // adapt makes room for one more where answers come in time, quickly from little, and takes one away for
 // each that is late or turned away. Guards against overload, slow machines and a full link alike. Where many
 // directors share the machine each has a part of its room, and moves it by as much.
-func (d *Director) adapt(room *float64, out int, good bool, blame float64) {
+func (d *Director) adapt(room *float64, out float64, good bool, blame float64) {
 	part := 1 / d.set.here
 	switch {
 	case !good:
 		*room = max(min(*room, roomLeast*part), *room-blame*min(1, max(part, *room*roomFalls)))
 	case *room < roomQuick*part:
 		*room += part
-	case float64(out+1) > *room/2:
+	case out+1 > *room/2:
 		*room += min(part, 1 / *room)
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -43,7 +43,7 @@
 			w.run(w.now + time.Duration(w.rng.Intn(80))*ms)
 		}
 		w.run(w.now + 10*time.Second)
-		w.blame(len(w.d.tokens)+len(w.d.outs)+len(w.d.reqs)+w.d.fills != 0, "%d reqs, %d dispatches, %d fills left over",
+		w.blame(float64(len(w.d.tokens)+len(w.d.outs)+len(w.d.reqs))+w.d.fills != 0, "%d reqs, %d dispatches, %g fills left over",
 			len(w.d.reqs), len(w.d.outs), w.d.fills)
 		if w.fault != "" {
 			t.Logf("seed %d: %s", seed, w.fault)
@@ -136,6 +136,28 @@
 	w.blame(from[2] > 0 || from[3] == 0, "fills by source %v, 2 is the slow one", from)
 }
 
+// A director that knows no copies, as after its start, learns that most of what it asks caches for is held there: such
+// dispatches take little of the room for fills.
+func TestHitsOfUnknownCopiesLeaveRoomForFills(t *testing.T) {
+	for fill, want := range map[Fill]int{Hit: 60, Filled: linkAtStart * 2} {
+		w := calm(t, 4)
+		for obj := range uint64(60) {
+			w.serve(0, 1000+obj, 100*ms, Outcome{Fill: fill})
+		}
+		w.d.linkRoom = linkAtStart
+		for obj := range uint64(60) {
+			w.ask(0, 2000+obj, 0)
+		}
+		filling := 0
+		for _, x := range w.d.outs {
+			if !x.expectHit {
+				filling++
+			}
+		}
+		w.blame((filling >= want) != (fill == Hit), "after fill %d: %d dispatches that may fill", fill, filling)
+	}
+}
+
 // Bytes cross the links once more for each hub, so a parent of the own hub comes first unless it is clearly slower.
 func TestNearParentComesFirst(t *testing.T) {
 	w := calm(t, 1)
@@ -363,10 +385,10 @@
 	for range 11 {
 		w.ask(0, 77, 0)
 	}
-	w.blame(w.d.fills != 1, "%d fills of one part are out", w.d.fills)
+	w.blame(w.d.fills != 1, "%g fills of one part are out", w.d.fills)
 	w.now += 80 * ms
 	w.end(1, Outcome{Fill: Filled})
-	w.blame(w.d.fills > 1, "%d more fills through the link after the first", w.d.fills) // one where its holder is crowded
+	w.blame(w.d.fills > 1, "%g more fills through the link after the first", w.d.fills) // one where its holder is crowded
 	done := false
 	for range 12 {
 		w.now += 50 * ms
--- a/control/state.go
+++ b/control/state.go
@@ -11,7 +11,7 @@
 // Start makes a director that knows nothing yet.
 func Start(s Settings, f Front) *Director {
 	d := &Director{front: f, nodes: map[uint32]*node{}, objects: map[uint64]*object{},
-		again: againMost, reqs: map[uint32]*req{}, tokens: map[uint32]*req{},
+		again: againMost, fillShare: 1, reqs: map[uint32]*req{}, tokens: map[uint32]*req{},
 		purged: map[uint64]time.Duration{}, purgedAll: map[uint32]time.Duration{},
 		asks: NewRing(loadWidth, 2*loadBuckets)}
 	d.identity = s.Seed ^ uint64(s.Me)<<48
@@ -290,12 +290,9 @@
 	x.r.open--
 	d.outs = slices.DeleteFunc(d.outs, func(y *dispatch) bool { return y == x })
 	x.node.out--
-	if x.expectHit {
-		return
-	}
-	d.fills--
+	d.fills -= x.fill
 	if x.source.role != cache {
-		x.source.out--
+		x.source.out -= x.fill
 	}
 }
 
@@ -304,3 +301,13 @@
 	n.late, n.lived, n.trial = 0, now, false
 	n.ok.Add(now, 1)
 }
+
+// repeatable tells whether a req of the vhost may run again at any cache.
+func (v *vhost) repeatable() bool {
+	return v.Effect == Replayable || v.Effect == Uniqued && v.Group == GroupAll
+}
+
+// aim is how long a req's answer may take.
+func (d *Director) aim(r *req) time.Duration {
+	return min(r.v.Timeout, r.v.Aim+time.Duration(r.v.Stretch*float64(d.expected(r))))
+}
--- a/control/types.go
+++ b/control/types.go
@@ -177,7 +177,7 @@
 	boot       time.Duration
 	listed     time.Duration // the last start that the list told
 	wiped      time.Duration // copies seen before this are gone
-	out        int           // dispatches of ours that it holds
+	out        float64       // dispatches of ours that it holds; at a source those that probably fill
 	room       float64       // most of them, by how timely its answers are
 	trial      bool          // set aside, and no answer since
 	late       int           // overdue since its last sign of life
@@ -261,6 +261,7 @@
 	source      *node
 	at, overdue time.Duration
 	expectHit   bool
+	fill        float64 // how probably it fills
 	late, over  bool
 	lost        bool // overdue while its machine answered others
 }
@@ -291,7 +292,8 @@
 	outs              []*dispatch
 	purged            map[uint64]time.Duration // by object: when
 	purgedAll         map[uint32]time.Duration // by group
-	fills             int                      // dispatches out that probably need the link in
+	fills             float64                  // dispatches out that probably need the link in
+	fillShare         float64                  // of those to caches not known to hold the part, that fill
 	linkRoom          float64                  // most of them
 	lateShare         float64                  // of what was answered lately, smoothed
 	answers           float64                  // had so far
