--- a/control/control.go
+++ b/control/control.go
@@ -1,7 +1,6 @@
 // The decisions of one director. How to call it: Start hands over the settings and a Front; then
 // List, Req, Purge, Outcome, Timer and Left tell what happens, one call each, with the time since
-// the start. Every answer goes out through the Front at once. The interface is in types.go.
-// Ordinary path: route. Its parts follow in the order in which a req meets them.
+// the start. Every answer goes out through the Front at once. Ordinary path: route, and what it calls.
 package control
 
 import (
@@ -54,6 +53,7 @@
 	lossy     = 0.05                    // share of answers of live machines that never come: more is no chance
 	lostAfter = 3                       // times as long as until overdue, an answer is taken to be lost
 	silentAt  = 3                       // overdue since the last sign of life: no chance any more
+	oneBreak  = 20 * time.Millisecond   // failures so close are those of one connection
 	badAt     = 3                       // failures that are not chance
 	badOver   = 0.3                     // share of failures above the fleet's median
 	asideFor  = 2 * time.Second         // and up to half as much again by chance
@@ -113,7 +113,7 @@
 	if !hit && !passBy && d.waits(now, r) {
 		return
 	}
-	full := !fits(d.fills, d.linkRoom*d.slack(r), hash(d.identity, uint64(r.token)))
+	full := !fits(d.fills, d.linkRoom.most*d.slack(r), hash(d.identity, uint64(r.token)))
 	look := !hit && !r.v.Write && (held || full) // no fill, only what is held
 	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
@@ -185,7 +185,7 @@
 			return false
 		}
 		// By the part, not by chance: what goes elsewhere goes there from all directors, and is filled there once.
-		if !fits(c.out, c.room*d.slack(r), hash(r.obj.id, uint64(r.partNo), uint64(c.id))) {
+		if !fits(c.out, c.room.most*d.slack(r), hash(r.obj.id, uint64(r.partNo), uint64(c.id))) {
 			return false
 		}
 		bound := crowdTimes*mean + crowdPlus
@@ -275,7 +275,7 @@
 			continue
 		}
 		ready = append(ready, p)
-		if p.aside <= now && fits(p.out, p.room, hash(d.identity, uint64(r.token), uint64(p.id))) {
+		if p.aside <= now && fits(p.out, p.room.most, hash(d.identity, uint64(r.token), uint64(p.id))) {
 			fit = append(fit, p)
 		}
 	}
@@ -416,7 +416,7 @@
 	x := r.sent[o.Dispatch]
 	d.land(x)
 	switch o.Ending {
-	case Full, NoConnect, Moot, Miss: // proof that it never ran
+	case Full, NoConnect, Unsent, Moot, Miss: // proof that it never ran
 		if r.mayRun == x {
 			r.mayRun = nil
 		}
@@ -461,7 +461,7 @@
 		if !o.Held {
 			x.fit(d, o)
 		}
-		// A director that knows no copies yet, as after its start, would else take every hit for a fill of the link.
+		// A director that knows no copies yet, as after its start, would else take every hit for a fill.
 		if !x.expectHit && c.role == cache {
 			if d.fillShare -= d.fillShare * 2 * settle; o.Fill != Hit {
 				d.fillShare += 2 * settle
@@ -487,8 +487,11 @@
 		d.chill(now, c, now)
 		c.late++
 		fallthrough
-	case o.Ending == Reset, o.Ending == Failed, o.Ending == TimedOut && !(x.late && s.late >= silentAt):
-		if now > c.failed { // one broken connection takes many dispatches with it: that is one failure
+	case o.Ending == Reset, o.Ending == Unsent, o.Ending == Failed,
+		o.Ending == TimedOut && !(x.late && s.late >= silentAt):
+		// The connection broke, not the machine, where that answered others since: it may be asked again.
+		x.lost = x.lost || c.lived > x.at && (o.Ending == Reset || o.Ending == Unsent)
+		if now-c.failed > oneBreak { // one broken connection takes many dispatches with it: that is one failure
 			c.bad.Add(now, 1)
 			c.failed = now
 		}
@@ -578,18 +581,19 @@
 // atStart is this director's part of a starting room.
 func (d *Director) atStart(room float64) float64 { return room * max(partAtStart, 1/d.set.here) }
 
-// adapt makes room for one more where answers come in time, quickly from little, and takes one away for
-// each that is late or turned away. Guards against overload, slow machines and a full link alike. Where many
-// directors share the machine each has a part of its room, and moves it by as much.
-func (d *Director) adapt(room *float64, out float64, good bool, blame float64) {
+// adapt makes room for one more where answers come in time, quickly from little and until the first late one,
+// and takes one away for each that is late or turned away. Guards against overload, slow machines and a full
+// link alike. Where many directors share the machine each has a part of its room, and moves it by as much.
+func (d *Director) adapt(m *room, out float64, good bool, blame float64) {
 	part := 1 / d.set.here
 	switch {
 	case !good:
-		*room = max(min(*room, roomLeast*part), *room-blame*min(1, max(part, *room*roomFalls)))
-	case *room < roomQuick*part:
-		*room += part
-	case out+1 > *room/2:
-		*room += min(part, 1 / *room)
+		m.most = max(min(m.most, roomLeast*part), m.most-blame*min(1, max(part, m.most*roomFalls)))
+		m.known = true
+	case m.most < roomQuick*part, !m.known && out+1 > m.most/2:
+		m.most += part
+	case out+1 > m.most/2:
+		m.most += min(part, 1/m.most)
 	}
 }
 
@@ -634,7 +638,7 @@
 	if n.role == cache && n.silent(now) { // it may be restarting, and the list tells that late
 		d.chill(now, n, now)
 	}
-	n.room, n.late, n.trial = min(n.room, 1), 0, true
+	n.room, n.late, n.trial = room{most: min(n.room.most, 1)}, 0, true
 	n.bad, n.ok = NewRing(loadWidth, 2*loadBuckets), NewRing(loadWidth, 2*loadBuckets)
 	for _, o := range d.table {
 		o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.n == n })
@@ -782,7 +786,7 @@
 		case l.Kind == d.set.parentKind:
 			n.hops = d.hops(l.Zone)
 			if n.role != parent {
-				n.role, n.room = parent, d.atStart(linkAtStart)
+				n.role, n.room.most = parent, d.atStart(linkAtStart)
 			}
 		case l.Zone == d.set.zone:
 			n.role = cache
@@ -792,7 +796,7 @@
 		if l.Booted && n.listed != l.Boot {
 			n.listed, n.wiped = l.Boot, max(n.wiped, l.Boot)
 			d.chill(now, n, l.Boot)
-			n.aside, n.room, n.late, n.wait, n.trial = 0, roomLeast, 0, 0, false
+			n.aside, n.room, n.late, n.wait, n.trial = 0, room{most: roomLeast}, 0, 0, false
 		}
 	}
 	d.relist()
--- a/control/state.go
+++ b/control/state.go
@@ -29,7 +29,7 @@
 		send := time.Duration(firstSend * float64(v.Aim))
 		d.vhosts = append(d.vhosts, &vhost{Vhost: v, mean: 1, dev: firstDev, send: send, least: send})
 	}
-	d.linkRoom = d.atStart(linkAtStart)
+	d.linkRoom.most = d.atStart(linkAtStart)
 	f.After(period, 0)
 	return d
 }
@@ -210,7 +210,7 @@
 func (d *Director) meet(id uint32) *node {
 	n := &node{id: id, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
 		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets),
-		room: d.atStart(roomAtStart), listed: math.MinInt64}
+		room: room{most: d.atStart(roomAtStart)}, listed: math.MinInt64}
 	d.nodes[id], d.met = n, append(d.met, n)
 	return n
 }
--- a/control/types.go
+++ b/control/types.go
@@ -123,6 +123,7 @@
 	Full
 	TimedOut
 	NoConnect
+	Unsent // the connection broke before the dispatch was whole: it never ran, which says little of the machine
 	Reset
 	Cancelled
 	Moot
@@ -178,7 +179,7 @@
 	listed     time.Duration // the last start that the list told
 	wiped      time.Duration // copies seen before this are gone
 	out        float64       // dispatches of ours that it holds; at a source those that probably fill
-	room       float64       // most of them, by how timely its answers are
+	room       room          // for dispatches out
 	trial      bool          // set aside, and no answer since
 	late       int           // overdue since its last sign of life
 	lived      time.Duration // when that was
@@ -197,6 +198,12 @@
 	hops       int // hubs on the way to a parent
 }
 
+// room is how much may be out at a time, by how timely answers are.
+type room struct {
+	most  float64
+	known bool // an answer was late; until then it is a guess
+}
+
 type share struct {
 	n    *node
 	part float64
@@ -294,11 +301,11 @@
 	purgedAll         map[uint32]time.Duration // by group
 	fills             float64                  // dispatches out that probably need the link in
 	fillShare         float64                  // of those to caches not known to hold the part, that fill
-	linkRoom          float64                  // most of them
-	lateShare         float64                  // of what was answered lately, smoothed
-	answers           float64                  // had so far
-	lossShare         float64                  // of answers of live machines, those that never came, smoothed
-	again             float64                  // further dispatches saved up
+	linkRoom          room
+	lateShare         float64 // of what was answered lately, smoothed
+	answers           float64 // had so far
+	lossShare         float64 // of answers of live machines, those that never came, smoothed
+	again             float64 // further dispatches saved up
 	asks              Ring
 	counter, identity uint64
 }
--- a/director/clock.go
+++ b/director/clock.go
@@ -58,6 +58,9 @@
 	return now
 }
 
+// heldBack tells whether the process was just now, so that what came may lie unread.
+func (c *clock) heldBack() bool { return c.arrived() < c.now()-catchUp }
+
 // after sets a timer of the module's.
 func (c *clock) after(wait time.Duration, token uint32) {
 	t := timer{due: c.now() + max(0, wait), token: token}
--- a/director/ending.go
+++ b/director/ending.go
@@ -20,6 +20,7 @@
 	Unreadable                   // what came cannot be read; not trusted further
 	Stalled                      // the other side took nothing, or left off amid a message, for too long
 	NeverConnected               // refused, unreachable, or not up in time
+	Stale                        // not begun to be written in time, or the connection broke before
 	NeverSent                    // the req had ended before anything of it was written
 	NoRoom                       // no socket left to send it on
 	NoMemory                     // answered, but the bodies held are over the bound
@@ -35,8 +36,8 @@
 	AnsweredLate                 // was over already
 )
 
-// outcome tells the module how a dispatch ended. Only what provably never ran may become one of the four
-// endings that say so: NoConnect, Full, Miss, Moot.
+// outcome tells the module how a dispatch ended. Only what provably never ran may become one of the five
+// endings that say so: NoConnect, Unsent, Full, Miss, Moot.
 func (e Ending) outcome() control.Ending {
 	switch e {
 	case AnsweredHit, AnsweredSame:
@@ -49,8 +50,10 @@
 		return control.Failed
 	case AnsweredLate, NeverSent:
 		return control.Moot
-	case NeverConnected, SentInPart:
+	case NeverConnected:
 		return control.NoConnect
+	case Stale, SentInPart:
+		return control.Unsent
 	case Expired:
 		return control.TimedOut
 	case Withdrawn, NoMemory: // no fault of the node's
@@ -92,7 +95,7 @@
 	return Unreadable
 }
 
-var endings = [...]string{"closed", "stopped", "cut", "unreadable", "stalled", "never connected", "never sent",
+var endings = [...]string{"closed", "stopped", "cut", "unreadable", "stalled", "never connected", "stale", "never sent",
 	"no room", "no memory", "sent in part", "lost", "withdrawn", "expired", "hit", "same", "none", "full", "fault", "late"}
 
 func (e Ending) String() string { return endings[e] }
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -21,6 +21,7 @@
 	clock  *clock
 	note   *note
 	left   int // sockets that may still be opened
+	spare  int // of those, kept for nodes without a connection: down to it each req has one to itself
 	dialer net.Dialer
 }
 
@@ -31,7 +32,7 @@
 }
 
 func newNodes(conf *config.Config, sockets int, c *clock, n *note) *nodes {
-	return &nodes{byID: map[uint32]*node{}, conf: conf, clock: c, note: n, left: sockets,
+	return &nodes{byID: map[uint32]*node{}, conf: conf, clock: c, note: n, left: sockets, spare: sockets / 4,
 		dialer: net.Dialer{Timeout: conf.DialTimeout}}
 }
 
@@ -89,14 +90,16 @@
 		return
 	}
 	c := n.pick(x)
-	if c == nil {
-		if s.left == 0 && !s.closeIdle() {
+	if c == nil || len(c.open) > 0 && s.left > s.spare {
+		switch {
+		case s.left > 0 || s.closeIdle():
+			s.left--
+			c = s.open(n)
+			go c.run(n.addr)
+		case c == nil:
 			x.finish(NoRoom)
 			return
 		}
-		s.left--
-		c = s.open(n)
-		go c.run(n.addr)
 	}
 	c.add(x)
 }
@@ -108,19 +111,19 @@
 	return c
 }
 
-// pick finds the connection with the fewest reqs open. None may carry the same req twice, as an answer to the
-// first dispatch would pass for one to the second.
+// pick finds the connection with the fewest reqs open, of idle ones the one used last. None may carry the same req
+// twice, as an answer to the first dispatch would pass for one to the second.
 func (n *node) pick(x *dispatch) (best *conn) {
 	s := x.r.d.nodes
 	now := s.clock.now()
 	for _, c := range n.conns {
-		if c.retired || c.stuck(now) || c.live >= s.conf.Streams || c.open[x.ask.ID] != nil {
+		if c.retired || c.stuck(now) || len(c.open) >= s.conf.Streams || x.r.sentOver(c) {
 			continue
 		}
-		if c.live == 0 && c.nc != nil && now-c.used > s.conf.ConnIdle*4/5 {
+		if len(c.open) == 0 && c.nc != nil && now-c.used > s.conf.ConnIdle*4/5 {
 			continue // the node may be closing it just now
 		}
-		if best == nil || c.live < best.live {
+		if best == nil || len(c.open) < len(best.open) || len(c.open) == 0 && c.used > best.used && len(best.open) == 0 {
 			best = c
 		}
 	}
@@ -132,7 +135,7 @@
 	var idle *conn
 	for _, n := range s.byID {
 		for _, c := range n.conns {
-			if c.live == 0 && c.nc != nil && (idle == nil || c.used < idle.used) {
+			if len(c.open) == 0 && c.nc != nil && (idle == nil || c.used < idle.used) {
 				idle = c
 			}
 		}
--- a/director/req.go
+++ b/director/req.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -180,6 +181,11 @@
 	r.d.nodes.send(o.Node, x)
 }
 
+// sentOver tells whether a dispatch of the req went over a connection.
+func (r *req) sentOver(c *conn) bool {
+	return slices.ContainsFunc(r.sent, func(x *dispatch) bool { return x.conn == c })
+}
+
 // withdraw gives a dispatch up, unless it has ended.
 func (r *req) withdraw(number int, why Ending) {
 	if number < len(r.sent) {
