Resets of new connections are no deaths; unfit reqs end at the door; what left is forgotten

Ruled out: CPU (0.09 of a core), memory, sockets (54 of 384), caches (their answers came in time). At fault: conn.run told every dial that failed as NeverConnected, upon which learn takes the machine for dead, forgets its copies and starts its cold budget, which denied most.

--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,8 @@
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
 	tableSize   = 8192                   // objects: minutes of reqs
+	partsKept   = 512                    // of one object
+	leftKept    = 32                     // machines that left the list
 	purgeMargin = time.Second            // a purge is kept in mind this much longer than it lasts
 
 	// Links carry few transfers at once: a cache a little fuller than its peers is late already.
@@ -64,6 +66,7 @@
 	takeFades   = 0.95                   // by period while it answers: a peak counts for seconds
 	againEach   = 0.15                   // further dispatches earned by each req
 	againMost   = 25                     // and saved up: a cache's worth of reqs
+	waitShare   = 0.4                    // of its time that a req may wait behind a fill: half is late to be denied
 	backLeast   = 200 * time.Millisecond // a denied client may come back after this and a random
 	backSpread  = 600 * time.Millisecond // part of this, so that they do not come together
 	answerEarly = 25 * time.Millisecond  // before the client timeout the last answer leaves: a busy core is late
@@ -78,13 +81,11 @@
 func (d *Director) Req(now time.Duration, a Ask) {
 	d.lastToken++
 	r := &req{id: a.ID, token: d.lastToken, v: d.vhosts[a.Vhost], partNo: a.Part, kb: a.KB, came: now,
-		deadline: a.Deadline}
+		deadline: a.Deadline, stranger: a.Stranger}
+	r.patient = min(r.v.Aim, time.Duration(waitShare*float64(a.Deadline-now)))
 	d.reqs[r.id], d.tokens[r.token] = r, r
 	r.obj = d.object(a.Obj, a.Group)
-	if r.part = r.obj.parts[a.Part]; r.part == nil {
-		r.part = &part{}
-		r.obj.parts[a.Part] = r.part
-	}
+	r.part = r.obj.part(a.Part)
 	r.obj.asks.Add(now, 1)
 	d.asks.Add(now, 1)
 	r.obj.seen, r.obj.last = r.obj.seen+1, now
@@ -255,7 +256,7 @@
 // a rush on a new object would else fill it once for each req and jam the link. Ends with that fill.
 func (d *Director) waits(now time.Duration, r *req) bool {
 	f := r.part.filling
-	if r.v.Write || f == nil || f.late || len(r.sent) > 0 || now-r.came > r.v.Aim {
+	if r.v.Write || f == nil || f.late || len(r.sent) > 0 || now-r.came > r.patient {
 		return false
 	}
 	d.move(now, r, queued)
@@ -395,18 +396,21 @@
 
 // giveUp answers at once, with a denial wherever a retry is harmless.
 func (d *Director) giveUp(now time.Duration, r *req) {
-	d.move(now, r, ended)
-	if r.mayRun == nil || r.v.repeatable() {
-		back := time.Duration(0)
-		if d.set.comeBack {
-			back = min(d.set.maxComeBack, backLeast+time.Duration(unit(d.chance(r.id))*float64(backSpread)))
-		}
-		d.front.Deny(r.id, back)
+	if d.move(now, r, ended); r.mayRun == nil || r.v.repeatable() {
+		d.front.Deny(r.id, d.ComeBack(r.id))
 		return
 	}
 	d.front.Abort(r.id)
 }
 
+// ComeBack is the time that a denial names, also one for a bound outside of the module; 0: none.
+func (d *Director) ComeBack(id uint32) time.Duration {
+	if !d.set.comeBack {
+		return 0
+	}
+	return min(d.set.maxComeBack, backLeast+time.Duration(unit(d.chance(id))*float64(backSpread)))
+}
+
 // Outcome takes the end of a dispatch.
 func (d *Director) Outcome(now time.Duration, id uint32, o Outcome) {
 	r := d.reqs[id]
@@ -440,7 +444,8 @@
 	if o.Ending != Miss || x.source != x.node { // a look is free
 		d.again--
 	}
-	if d.again < 0 || len(r.sent) >= d.set.maxDispatches || now+answerEarly >= r.deadline || o.Ending == Moot {
+	if d.again < 0 || len(r.sent) >= d.set.maxDispatches || now+answerEarly >= r.deadline ||
+		o.Ending == Moot || o.Ending == Failed && r.stranger {
 		d.again = max(d.again, 0)
 		d.giveUp(now, r)
 		return
@@ -480,7 +485,7 @@
 			s.bad.Add(now, 1)
 			d.judge(now, s)
 		}
-	case o.Ending == Miss || o.Ending == Full:
+	case o.Ending == Miss || o.Ending == Full || o.Ending == Failed && r.stranger: // it may be the req
 		c.alive(now)
 	case o.Ending == NoConnect:
 		c.wiped, c.lived = now, now-leastWait // dead, however lately it answered; back, it will be cold
@@ -502,7 +507,7 @@
 	}
 	held := o.Ending == Done && !r.v.Write && c.role == cache
 	r.part.held = slices.DeleteFunc(r.part.held, func(h copyAt) bool {
-		return h.n == c && (held || o.Ending == Miss)
+		return h.n == c && (held || o.Ending == Miss) || !h.n.ready
 	})
 	if held {
 		r.part.held = append(r.part.held, copyAt{c, x.at})
@@ -624,13 +629,7 @@
 		return
 	}
 	if n.role == cache && !n.silent(now) {
-		left := 0
-		for _, c := range d.caches {
-			if c != n && c.aside <= now {
-				left++
-			}
-		}
-		if left == 0 || left < len(d.caches)/3 {
+		if left := d.others(now, n); left == 0 || left < len(d.caches)/3 {
 			return
 		}
 	}
@@ -663,7 +662,7 @@
 	case r == nil:
 	case now >= r.deadline-answerEarly:
 		d.giveUp(now, r)
-	case r.state == queued && now-r.came >= r.v.Aim:
+	case r.state == queued && now-r.came >= r.patient:
 		d.route(now, r)
 	default:
 		for _, x := range r.sent {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -202,6 +202,49 @@
 	}
 }
 
+// What a cache faults of a client of which nothing was done yet may be the req: it is not sent again, and no machine is
+// blamed.
+func TestFaultsOfStrangers(t *testing.T) {
+	for _, stranger := range []bool{true, false} {
+		w := calm(t, 3)
+		for i := range uint32(2) {
+			w.now += 100 * ms
+			a := w.asks[w.ask(0, 7, i)]
+			r := w.d.reqs[a.ID]
+			r.stranger = stranger
+			c := r.sent[0].node
+			w.end(a.ID, Outcome{Ending: Failed})
+			w.blame(stranger != (r.state == ended) || stranger != (c.bad.Sum(w.now) == 0), "stranger %v: state %d, %g failures",
+				stranger, r.state, c.bad.Sum(w.now))
+		}
+	}
+}
+
+// Ever new machines and parts leave no more than a bounded record behind.
+func TestWhatLeftIsForgotten(t *testing.T) {
+	w := calm(t, 3)
+	for i := range uint32(300) {
+		w.tell(false, Listed{Node: 1000 + i, State: Ready, Zone: 1})
+		w.tell(false, Listed{Node: 1000 + i, State: Gone, Zone: 1})
+	}
+	w.blame(len(w.d.met) > 6+leftKept || len(w.d.nodes) != len(w.d.met), "%d machines on record", len(w.d.met))
+	for i := range uint32(3 * partsKept) {
+		w.d.object(5, 0).part(i)
+	}
+	w.blame(len(w.d.object(5, 0).parts) > partsKept, "%d parts", len(w.d.object(5, 0).parts))
+}
+
+// A req waits behind a fill for less than half of its time: denied later it would have been better sent.
+func TestWaitsBehindAFillNoLongerThanItsTimeAllows(t *testing.T) {
+	w := calm(t, 3)
+	w.ask(0, 7, 0)
+	w.set.Vhosts[0].Timeout = 300 * ms
+	r := w.d.reqs[w.ask(0, 7, 0)]
+	w.blame(r.state != queued, "state %d", r.state)
+	w.run(w.now + 140*ms)
+	w.blame(r.state != out, "state %d near half of its time", r.state)
+}
+
 // Bytes cross the links once more for each hub, so a parent of the own hub comes first unless it is clearly slower.
 func TestNearParentComesFirst(t *testing.T) {
 	w := calm(t, 1)
--- a/control/state.go
+++ b/control/state.go
@@ -219,6 +219,20 @@
 func (d *Director) relist() {
 	d.version++
 	d.caches, d.parents, d.origin = nil, nil, nil
+	left := 0
+	for _, n := range d.met {
+		if !n.ready {
+			left++
+		}
+	}
+	d.met = slices.DeleteFunc(d.met, func(n *node) bool { // those that left first; ever new ones come
+		if n.ready || left <= leftKept {
+			return false
+		}
+		left--
+		delete(d.nodes, n.id)
+		return true
+	})
 	for _, n := range d.nodes {
 		switch {
 		case !n.ready:
@@ -244,7 +258,7 @@
 	switch to {
 	case queued:
 		r.part.behind = append(r.part.behind, r)
-		d.front.After(r.came+r.v.Aim-now, r.token)
+		d.front.After(r.came+r.patient-now, r.token)
 	case recalled, ended:
 		for _, x := range r.sent {
 			if !x.over && d.set.mayCancel {
@@ -311,3 +325,26 @@
 func (d *Director) aim(r *req) time.Duration {
 	return min(r.v.Timeout, r.v.Aim+time.Duration(r.v.Stretch*float64(d.expected(r))))
 }
+
+// part finds or makes the record of a part; an object of more than any has begins anew.
+func (o *object) part(no uint32) *part {
+	p := o.parts[no]
+	if p == nil {
+		if len(o.parts) >= partsKept {
+			clear(o.parts)
+		}
+		p = &part{}
+		o.parts[no] = p
+	}
+	return p
+}
+
+// others counts the caches but n that are not set aside.
+func (d *Director) others(now time.Duration, n *node) (count int) {
+	for _, c := range d.caches {
+		if c != n && c.aside <= now {
+			count++
+		}
+	}
+	return count
+}
--- a/control/types.go
+++ b/control/types.go
@@ -112,6 +112,7 @@
 	Vhost    int
 	KB       float64 // 0: not told
 	Deadline time.Duration
+	Stranger bool // none of its client's reqs was done yet: what a cache faults may be the req
 }
 
 // Ending of a dispatch.
@@ -256,6 +257,8 @@
 	kb       float64
 	came     time.Duration
 	deadline time.Duration
+	patient  time.Duration // as long as it may wait behind a fill
+	stranger bool
 	sent     []*dispatch
 	open     int
 	mayRun   *dispatch // the first that is not known never to have run
--- a/director/client.go
+++ b/director/client.go
@@ -13,12 +13,16 @@
 )
 
 const (
-	firstTime   = 2 * time.Second  // from connecting until a whole message has come
-	clientIdle  = 6 * time.Second  // without an open req; clients close theirs sooner
-	messageTime = 2 * time.Second  // that one message may take once it has begun
-	lingerTime  = time.Second      // for an error to arrive before its connection is closed
-	writeTime   = 10 * time.Second // that one answer may take to leave; after that the client is gone
-	tasksEach   = 64               // of one client: twice the reqs that it may have open, as ended ones linger
+	firstTime   = 2 * time.Second      // from connecting until a whole message has come
+	clientIdle  = 6 * time.Second      // without an open req; clients close theirs sooner
+	messageTime = 2 * time.Second      // that one message may take once it has begun
+	lingerTime  = time.Second          // for an error to arrive before its connection is closed
+	writeTime   = 10 * time.Second     // that one answer may take to leave; after that the client is gone
+	openEach    = 40                   // reqs of one client: some more than it may have open, as answers are under way
+	tasksEach   = 64                   // their tasks, as ended ones linger
+	unfitFree   = 4                    // messages in a row that are of no use to anybody; then each costs the client
+	unfitPause  = 5 * time.Millisecond // more before the next is read,
+	unfitMost   = 40                   // up to so many times as much
 )
 
 var errAgain = errors.New("a message id is used again while it is open")
@@ -38,6 +42,8 @@
 
 	writing sync.Mutex
 	bodies  atomic.Int64 // bytes held for it
+	proved  atomic.Bool  // a req of its was done
+	unfit   atomic.Int32 // messages since then that could not be used or were over a bound
 }
 
 func newClient(d *Director, nc net.Conn) *client {
@@ -62,6 +68,9 @@
 			}
 			c.nc.SetReadDeadline(time.Now().Add(messageTime))
 		}
+		if n := c.unfit.Load(); n > unfitFree { // it may write at full speed what costs us more than it
+			time.Sleep(time.Duration(min(n, unfitMost)) * unfitPause)
+		}
 		m, err := in.Read()
 		if err != nil {
 			if m.Numbered && endingOf(err) == Unreadable {
@@ -98,6 +107,13 @@
 	if !c.take(r) {
 		return errAgain // two answers under one id would be ambiguous
 	}
+	c.mu.Lock()
+	many := len(c.open) > openEach
+	c.mu.Unlock()
+	if many {
+		r.turnAway()
+		return nil
+	}
 	select {
 	case c.tasks <- struct{}{}:
 		go func() {
@@ -105,7 +121,7 @@
 			<-c.tasks
 		}()
 	default:
-		r.deny(0) // nothing of it was sent
+		r.turnAway()
 	}
 	return nil
 }
--- a/director/conn.go
+++ b/director/conn.go
@@ -101,7 +101,7 @@
 func (c *conn) run(addr netip.AddrPort) {
 	nc, err := c.s.dialer.Dial("tcp", addr.String())
 	if err != nil {
-		c.stop(NeverConnected, err)
+		c.stop(endingOfDial(err), err)
 		return
 	}
 	if !c.up(nc) {
--- a/director/director.go
+++ b/director/director.go
@@ -35,6 +35,7 @@
 	mu     sync.Mutex // owns all below, and the timers
 	dir    *control.Director
 	reqs   map[uint32]*req
+	ids    map[string]bool // the clients' ids of those
 	lastID uint32
 	last   uint64   // number of the last event of the feed
 	gap    feed.Gap // met last
@@ -43,7 +44,8 @@
 // New makes a director that knows what its configuration tells.
 func New(conf *config.Config, log *logrus.Entry) *Director {
 	d := &Director{conf: conf, log: log, vhosts: map[string]int{}, bounds: split(conf), clock: newClock(),
-		note: &note{log: log}, moves: make(chan netip.AddrPort, 1), reqs: map[uint32]*req{}}
+		note: &note{log: log}, moves: make(chan netip.AddrPort, 1), reqs: map[uint32]*req{},
+		ids: map[string]bool{}}
 	for i, name := range conf.Vhosts {
 		d.vhosts[name] = i
 	}
--- a/director/ending.go
+++ b/director/ending.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 
 	"indigochute.example/indigochute/control"
 	"indigochute.example/indigochute/resp"
@@ -95,6 +96,21 @@
 	return Unreadable
 }
 
+// endingOfDial tells why a connection did not come up. Only some reasons say that there is no machine: one that is well
+// resets new connections now and then, and sockets may be lacking here.
+func endingOfDial(err error) Ending {
+	var timed net.Error
+	if errors.As(err, &timed) && timed.Timeout() {
+		return NeverConnected
+	}
+	for _, dead := range []error{syscall.ECONNREFUSED, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		if errors.Is(err, dead) {
+			return NeverConnected
+		}
+	}
+	return Cut
+}
+
 var endings = [...]string{"closed", "stopped", "cut", "unreadable", "stalled", "never connected", "stale", "never sent",
 	"no room", "no memory", "sent in part", "lost", "withdrawn", "expired", "hit", "same", "none", "full", "fault", "late"}
 
--- a/director/listener.go
+++ b/director/listener.go
@@ -50,6 +50,7 @@
 		}
 	}
 	s.all[c] = true
+	delete(s.all, out)
 	s.mu.Unlock()
 	if out != nil {
 		out.close(Stopped, nil)
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -51,6 +51,9 @@
 		}
 	}
 	n.addr, n.born = m.Addr, m.BornUnix
+	if m.State == control.Gone { // ever new ones come; what is still ordered for it never runs
+		delete(s.byID, m.ID)
+	}
 }
 
 // dispatch is one sending of a req to a node. What changes after its start belongs to the lock of nodes.
@@ -86,7 +89,7 @@
 	defer s.mu.Unlock()
 	n := s.byID[id]
 	if n == nil {
-		x.finish(NeverConnected)
+		x.finish(Stale)
 		return
 	}
 	c := n.pick(x)
--- a/director/shutdown.go
+++ b/director/shutdown.go
@@ -12,9 +12,10 @@
 // After the signal to end, clients connect and ask for some tenths of a second more; all that is left is
 // answered before the process may be killed.
 const (
-	lateComers = 700 * time.Millisecond  // from the signal: reqs are taken until then
-	leaveAfter = 3300 * time.Millisecond // from the signal: what is open is aborted
-	goodbye    = 200 * time.Millisecond  // for the last answers to arrive
+	lateComers = 700 * time.Millisecond // from the signal: reqs are taken until then
+	leaveMost  = 3 * time.Second        // the longest client timeout, no more than this,
+	leaveMore  = 300 * time.Millisecond // and this from the signal: what is open is aborted
+	goodbye    = 200 * time.Millisecond // for the last answers to arrive
 	lookEach   = 5 * time.Millisecond
 )
 
@@ -40,13 +41,13 @@
 	go d.accept(l)
 	d.log.WithField("listen", l.Addr()).Info("serving")
 	<-ctx.Done()
-	signalled := time.Now()
+	abort := time.Now().Add(min(d.longest(), leaveMost) + leaveMore)
 	d.leaving.Store(true)
 	d.log.Info("leaving")
 	time.Sleep(lateComers)
 	l.Close()
 	for d.clients.each(func(c *client) { c.finish(goodbye) }) > 0 { // what crosses this is sent again elsewhere
-		if time.Since(signalled) > leaveAfter {
+		if time.Now().After(abort) {
 			d.abortAll()
 		}
 		time.Sleep(lookEach)
@@ -54,6 +55,14 @@
 	d.log.Info("nothing is owed any more")
 }
 
+// longest is the longest client timeout of the vhosts.
+func (d *Director) longest() (most time.Duration) {
+	for _, v := range d.conf.Settings.Vhosts {
+		most = max(most, v.Timeout)
+	}
+	return most
+}
+
 // abortAll gives every open req its final answer, which promises nothing.
 func (d *Director) abortAll() {
 	d.mu.Lock()
--- a/msgpack/msgpack.go
+++ b/msgpack/msgpack.go
@@ -14,7 +14,7 @@
 
 // Bounds of what a client may write. What goes over one is malformed.
 const (
-	mostBody   = 64 << 10
+	mostBody   = 48000
 	mostField  = 1 << 10
 	mostFields = 64
 	mostMethod = 128
