Rooms grow faster with each room's worth of timely answers; a full cache says nothing of the link

Ruled out: budgets, caches set aside (none in the log). At fault: crowding took a Full for a sign that the link is full, and adapt gave back one over the room for each timely answer, so 12 to 28 took 320 of them.

--- a/control/control.go
+++ b/control/control.go
@@ -564,7 +564,7 @@
 	switch {
 	case x.lost, o.Held, o.Ending == Cancelled && (!x.late || d.lossShare > lossy):
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && o.Ending != Cancelled:
-	case x.expectHit || o.Fill == Hit:
+	case x.expectHit || o.Fill == Hit || o.Ending == Full: // which the cache is, not the link
 		d.adapt(&x.node.room, x.node.out, good, blame)
 	case x.node.role == cache && d.strain(x.node) > crowdStrain:
 		d.adapt(&x.node.room, x.node.out, good, blame) // a strained cache is late whatever the link does
@@ -594,11 +594,12 @@
 	switch {
 	case !good:
 		m.most = max(min(m.most, roomLeast*part), m.most-blame*min(1, max(part, m.most*roomFalls)))
-		m.known = true
+		m.known, m.timely = true, 0
 	case m.most < roomQuick*part, !m.known && out+1 > m.most/2:
 		m.most += part
-	case out+1 > m.most/2:
-		m.most += min(part, 1/m.most)
+	case out+1 > m.most/2: // faster with each room's worth of timely ones in a row, to be back soon after a jolt
+		m.timely++
+		m.most += min(part, (1+m.timely/m.most)/m.most)
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -144,7 +144,7 @@
 		for obj := range uint64(60) {
 			w.serve(0, 1000+obj, 100*ms, Outcome{Fill: fill})
 		}
-		w.d.linkRoom = room{linkAtStart, true}
+		w.d.linkRoom = room{most: linkAtStart, known: true}
 		for obj := range uint64(60) {
 			w.ask(0, 2000+obj, 0)
 		}
@@ -173,6 +173,10 @@
 	first := grows()
 	w.d.adapt(&m, m.most, false, 1)
 	after := grows()
+	for range 10 {
+		grows()
+	}
+	w.blame(grows() < 3*after, "no faster after a hundred timely answers")
 	w.d.setAside(w.now, w.d.caches[0])
 	w.blame(first < 10 || after > 1 || w.d.caches[0].room.known, "room grew by %.1f, then by %.1f", first, after)
 }
--- a/control/types.go
+++ b/control/types.go
@@ -201,8 +201,9 @@
 
 // room is how much may be out at a time, by how timely answers are.
 type room struct {
-	most  float64
-	known bool // an answer was late; until then it is a guess
+	most   float64
+	known  bool    // an answer was late; until then it is a guess
+	timely float64 // answers in a row since
 }
 
 type share struct {
