--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,7 @@
 	roomFalls   = 0.25 // of a room, at most one, that a late answer takes where many share
 	timely      = 0.85 // of its aim: an answer at its aim is a jam begun
 	unsized     = 1.2  // times as long where the size is not known: the req may just be large
+	fullBlame   = 0.25 // of a room that a cache's turning away takes from the link
 	crowdSign   = 8    // and such a late answer counts this multiple of the share of late ones
 	usualSlack  = 4    // an aim of so many sending times gets the room as it is,
 	mostSlack   = 2    // a tighter one less, a looser one up to this multiple
@@ -66,7 +67,7 @@
 	takeFades   = 0.95                   // by period while it answers: a peak counts for seconds
 	againEach   = 0.15                   // further dispatches earned by each req
 	againMost   = 25                     // and saved up: a cache's worth of reqs
-	waitShare   = 0.4                    // of its time that a req may wait behind a fill: half is late to be denied
+	waitShare   = 0.4                    // of its time that a req may wait behind a fill
 	backLeast   = 200 * time.Millisecond // a denied client may come back after this and a random
 	backSpread  = 600 * time.Millisecond // part of this, so that they do not come together
 	answerEarly = 25 * time.Millisecond  // before the client timeout the last answer leaves: a busy core is late
@@ -367,7 +368,7 @@
 	x.node.out++
 	x.overdue = now + d.patience(r)
 	if !x.expectHit {
-		x.fill = math.Ceil(16*d.fillShare) / 16 // so that sums stay exact
+		x.fill = max(0.5, math.Ceil(16*d.fillShare)/16) // so that sums stay exact
 	}
 	d.fills += x.fill
 	d.outs = append(d.outs, x)
@@ -564,10 +565,13 @@
 	switch {
 	case x.lost, o.Held, o.Ending == Cancelled && (!x.late || d.lossShare > lossy):
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && o.Ending != Cancelled:
-	case x.expectHit || o.Fill == Hit || o.Ending == Full: // which the cache is, not the link
+	case x.expectHit || o.Fill == Hit:
 		d.adapt(&x.node.room, x.node.out, good, blame)
 	case x.node.role == cache && d.strain(x.node) > crowdStrain:
 		d.adapt(&x.node.room, x.node.out, good, blame) // a strained cache is late whatever the link does
+	case o.Ending == Full:
+		d.adapt(&x.node.room, x.node.out, good, blame)
+		d.adapt(&d.linkRoom, d.fills, good, fullBlame) // it may be full of slow fills
 	default:
 		d.adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
 		d.adapt(&d.linkRoom, d.fills, good, blame)
@@ -598,7 +602,9 @@
 	case m.most < roomQuick*part, !m.known && out+1 > m.most/2:
 		m.most += part
 	case out+1 > m.most/2: // faster with each room's worth of timely ones in a row, to be back soon after a jolt
-		m.timely++
+		if d.lateShare < settle {
+			m.timely++
+		}
 		m.most += min(part, (1+m.timely/m.most)/m.most)
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -173,6 +173,7 @@
 	first := grows()
 	w.d.adapt(&m, m.most, false, 1)
 	after := grows()
+	w.d.lateShare = 0
 	for range 10 {
 		grows()
 	}
