A connection with a req unread keeps its place; a full cache takes its own room alone

Why accepting stood still is not known. What broke the rule is: upon it accept ran ahead of the readers and admit took connections whose reqs lay unread for silent ones. Now nothing unread makes room, and accepting waits for no close.

--- a/control/control.go
+++ b/control/control.go
@@ -44,7 +44,6 @@
 	roomFalls   = 0.25 // of a room, at most one, that a late answer takes where many share
 	timely      = 0.85 // of its aim: an answer at its aim is a jam begun
 	unsized     = 1.2  // times as long where the size is not known: the req may just be large
-	fullBlame   = 0.25 // of a room that a cache's turning away takes from the link
 	crowdSign   = 8    // and such a late answer counts this multiple of the share of late ones
 	usualSlack  = 4    // an aim of so many sending times gets the room as it is,
 	mostSlack   = 2    // a tighter one less, a looser one up to this multiple
@@ -565,13 +564,9 @@
 	switch {
 	case x.lost, o.Held, o.Ending == Cancelled && (!x.late || d.lossShare > lossy):
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && o.Ending != Cancelled:
-	case x.expectHit || o.Fill == Hit:
+	case x.expectHit || o.Fill == Hit || o.Ending == Full,
+		x.node.role == cache && d.strain(x.node) > crowdStrain: // which is late whatever the link does
 		d.adapt(&x.node.room, x.node.out, good, blame)
-	case x.node.role == cache && d.strain(x.node) > crowdStrain:
-		d.adapt(&x.node.room, x.node.out, good, blame) // a strained cache is late whatever the link does
-	case o.Ending == Full:
-		d.adapt(&x.node.room, x.node.out, good, blame)
-		d.adapt(&d.linkRoom, d.fills, good, fullBlame) // it may be full of slow fills
 	default:
 		d.adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
 		d.adapt(&d.linkRoom, d.fills, good, blame)
--- a/director/client.go
+++ b/director/client.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"indigochute.example/indigochute/msgpack"
@@ -154,6 +155,23 @@
 	return c.heard, c.asked, len(c.open) == 0
 }
 
+// unread tells whether bytes have come that were not read yet.
+func (c *client) unread() (some bool) {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
 // close ends the connection; the reqs open on it have lost their client.
 func (c *client) close(e Ending, err error) {
 	c.nc.Close()
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -519,6 +519,40 @@
 	w.expect(first, "", "still here")
 }
 
+// A connection whose req lies unread does not make room: a director that was held back must not close over it.
+func TestUnreadReqsKeepTheirPlace(t *testing.T) {
+	w := start(t, 1)
+	l := listen(t)
+	accept := func(write string) *client {
+		nc := dial(t, l.Addr().String())
+		here, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(nc, write)
+		return newClient(w.d, here)
+	}
+	s := &clients{most: 2, all: map[*client]bool{}}
+	asks, mute, next := accept("a req"), accept(""), accept("")
+	for !asks.unread() {
+		time.Sleep(time.Millisecond)
+	}
+	for i, c := range []*client{asks, mute, next} {
+		if !s.admit(c, time.Duration(i)*time.Hour) {
+			t.Fatal("not admitted")
+		}
+	}
+	if !s.all[asks] || s.all[mute] {
+		t.Error("the one with a req unread made room")
+	}
+	next.mu.Lock()
+	next.open[1] = &req{}
+	next.mu.Unlock()
+	if s.admit(accept(""), 9*time.Hour) {
+		t.Error("admitted where nobody can make room")
+	}
+}
+
 // A connection that says nothing, or never comes to the end of its first message, is closed within the time owed.
 func TestNothingWhole(t *testing.T) {
 	w := start(t, 1)
--- a/director/listener.go
+++ b/director/listener.go
@@ -1,8 +1,10 @@
 package director
 
 import (
+	"cmp"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -35,37 +37,50 @@
 
 const muteFor = 100 * time.Millisecond // a client that connects and asks has been heard by then
 
-// admit gives a connection a place. Where all are taken, one on which nothing is open makes room: one that never
-// asked anything, else the one silent for longest. Clients that ask once and stay, or connect by hundreds and say
-// nothing, so cost the others no place. Where on each of them a req is open, the new one is closed.
+// admit gives a connection a place. Where all are taken, one on which nothing is open or unread makes room: one that
+// never asked anything, else the one silent for longest. Clients that ask once and stay, or connect by hundreds and say
+// nothing, so cost the others no place. Where no connection is like that the new one is closed.
 func (s *clients) admit(c *client, now time.Duration) bool {
 	s.mu.Lock()
-	var out *client
-	if len(s.all) >= s.most {
-		out = c
-		for o := range s.all {
-			if heard, asked, idle := o.silence(); idle && (out == c || s.sooner(now, heard, asked, out)) {
-				out = o
-			}
-		}
-	}
+	defer s.mu.Unlock()
 	s.all[c] = true
-	delete(s.all, out)
-	s.mu.Unlock()
-	if out != nil {
-		out.close(Stopped, nil)
+	if len(s.all) <= s.most {
+		return true
 	}
+	out := s.victim(now, c)
+	delete(s.all, out)
+	go out.close(Stopped, nil) // whatever that waits for
 	return out != c
 }
 
-// sooner tells whether a connection heard at that time is to go before another.
-func (s *clients) sooner(now, heard time.Duration, asked bool, than *client) bool {
-	otherHeard, otherAsked, _ := than.silence()
-	mute, otherMute := !asked && now-heard > muteFor, !otherAsked && now-otherHeard > muteFor
-	if mute != otherMute {
-		return mute
+// victim finds the connection that makes room for a new one.
+func (s *clients) victim(now time.Duration, c *client) *client {
+	type silent struct {
+		c     *client
+		heard time.Duration
+		mute  bool
+	}
+	var all []silent
+	for o := range s.all {
+		if heard, asked, idle := o.silence(); idle && o != c {
+			all = append(all, silent{o, heard, !asked && now-heard > muteFor})
+		}
+	}
+	slices.SortFunc(all, func(a, b silent) int {
+		if a.mute != b.mute {
+			if a.mute {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.heard, b.heard)
+	})
+	for _, o := range all {
+		if !o.c.unread() { // if we were held back a req may lie there
+			return o.c
+		}
 	}
-	return heard < otherHeard
+	return c
 }
 
 func (s *clients) leave(c *client) {
