A dispatch ordered before its client left ends all the same

A probe in giveUp showed the module's picture: 402 dispatches out at one cache at 2:00, 931 at 3:20, 6.6 more each second, while 233 descriptors stood open in all and answers took 75 ms. Ruled out: machines set aside (none), budgets (open), sockets and memory (flat). At fault: req.live chose at random between the client's leaving and an order that waited; with nothing open yet it ended, so the order was never followed, its dispatch never ended, and the module counted it as out for good. Bad clients that close at once do that six times a second. Without the mend the new test fails by the tenth req.

--- a/director/director_test.go
+++ b/director/director_test.go
@@ -22,6 +22,7 @@
 	"indigochute.example/indigochute/config"
 	"indigochute.example/indigochute/control"
 	"indigochute.example/indigochute/feed"
+	"indigochute.example/indigochute/msgpack"
 )
 
 const patience = 10 * time.Second // far more than anything here takes
@@ -367,6 +368,22 @@
 	w.serves("page", "", "-", "here")
 }
 
+// A client that leaves before its req's first order is followed: the dispatch must end all the same, or the module counts
+// it as out for good and in the end denies all.
+func TestClientLeavesBeforeTheOrderIsFollowed(t *testing.T) {
+	w := start(t, 1)
+	c := newClient(w.d, nil)
+	for i := range 64 {
+		r := newReq(w.d, c, msgpack.Message{Vhost: "page", Req: fmt.Sprintf("%016x", i+1), Obj: "00000000000000a1",
+			Timeout: time.Second}, w.d.clock.now())
+		r.leave()
+		r.live()
+		if len(r.sent) != 1 || !r.sent[0].over || len(r.todo) > 0 {
+			t.Fatalf("req %d: %d dispatches, %d orders not followed", i, len(r.sent), len(r.todo))
+		}
+	}
+}
+
 // What cannot be read costs its own connection only.
 func TestUnreadable(t *testing.T) {
 	w := start(t, 2)
--- a/director/req.go
+++ b/director/req.go
@@ -66,7 +66,7 @@
 	expired := time.NewTimer(r.deadline - r.d.clock.now())
 	defer expired.Stop()
 	left := r.left
-	for r.settled == "" || r.open > 0 {
+	for r.settled == "" || r.open > 0 || len(r.todo) > 0 { // the client may leave before an order is followed
 		select {
 		case order := <-r.todo: // dispatch, withdraw, deny or abort
 			order()
