--- a/director/client.go
+++ b/director/client.go
@@ -177,7 +177,7 @@
 	c.nc.Close()
 	if left, first := c.abandon(); first {
 		c.d.clients.leave(c)
-		c.d.note.connection("client connection", e, err, left)
+		c.d.clientNote.connection("client connection", e, err, left)
 	}
 }
 
--- a/director/director.go
+++ b/director/director.go
@@ -26,11 +26,12 @@
 	bounds bounds
 	clock  *clock
 
-	note    *note
-	moves   chan netip.AddrPort // where the journal service is from now on; one place, the newest counts
-	clients clients
-	leaving atomic.Bool  // the signal to end has come
-	bodies  atomic.Int64 // bytes held
+	note       *note
+	clientNote *note               // their own, so that bad clients drown no other line
+	moves      chan netip.AddrPort // where the journal service is from now on; one place, the newest counts
+	clients    clients
+	leaving    atomic.Bool  // the signal to end has come
+	bodies     atomic.Int64 // bytes held
 
 	mu     sync.Mutex // owns all below, and the timers
 	dir    *control.Director
@@ -44,7 +45,7 @@
 // New makes a director that knows what its configuration tells.
 func New(conf *config.Config, log *logrus.Entry) *Director {
 	d := &Director{conf: conf, log: log, vhosts: map[string]int{}, bounds: split(conf), clock: newClock(),
-		note: &note{log: log}, moves: make(chan netip.AddrPort, 1), reqs: map[uint32]*req{},
+		note: &note{log: log}, clientNote: &note{log: log}, moves: make(chan netip.AddrPort, 1), reqs: map[uint32]*req{},
 		ids: map[string]bool{}}
 	for i, name := range conf.Vhosts {
 		d.vhosts[name] = i
