One lock, one half-close and one copy of the clients where there were two

From reading the change once more: call locked a client twice in a row, refuse and finish closed half a connection with the same lines, each copied a map by hand. Behaviour is the same.

--- a/director/client.go
+++ b/director/client.go
@@ -105,13 +105,11 @@
 
 // call starts a req's task, or denies the req at once where there are too many.
 func (c *client) call(r *req) error {
-	if !c.take(r) {
+	open, ok := c.take(r)
+	if !ok {
 		return errAgain // two answers under one id would be ambiguous
 	}
-	c.mu.Lock()
-	many := len(c.open) > openEach
-	c.mu.Unlock()
-	if many {
+	if open > openEach {
 		r.turnAway()
 		return nil
 	}
@@ -127,14 +125,15 @@
 	return nil
 }
 
-func (c *client) take(r *req) bool {
+// take puts a req on record unless its message id is in use, and tells how many are open with it.
+func (c *client) take(r *req) (open int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open[r.msg.ID] != nil {
-		return false
+		return 0, false
 	}
 	c.open[r.msg.ID] = r
-	return true
+	return len(c.open), true
 }
 
 // release forgets a req that has its answer.
@@ -199,10 +198,15 @@
 // size, but the connection is kept for a while: closing over bytes that are not read may take the answer back.
 func (c *client) refuse(id uint32, why error) {
 	c.write(msgpack.Aborted(id, why.Error()))
+	c.sayNoMore()
+	time.Sleep(lingerTime)
+}
+
+// sayNoMore lets the other side see the end of the stream while the connection stays.
+func (c *client) sayNoMore() {
 	if half, ok := c.nc.(*net.TCPConn); ok {
 		half.CloseWrite()
 	}
-	time.Sleep(lingerTime)
 }
 
 // write sends one answer whole.
@@ -225,7 +229,5 @@
 		return
 	}
 	c.closes = time.AfterFunc(within, func() { c.close(Stopped, nil) })
-	if half, ok := c.nc.(*net.TCPConn); ok {
-		half.CloseWrite()
-	}
+	c.sayNoMore()
 }
--- a/director/listener.go
+++ b/director/listener.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -92,10 +93,7 @@
 // each does something with every client, and counts them.
 func (s *clients) each(do func(*client)) int {
 	s.mu.Lock()
-	all := make([]*client, 0, len(s.all))
-	for c := range s.all {
-		all = append(all, c)
-	}
+	all := slices.Collect(maps.Keys(s.all))
 	s.mu.Unlock()
 	for _, c := range all {
 		do(c)
