Command line on cobra, and a lean director beside it for the platform

The tools to come need libraries that the platform's smallest memory has no room for. So cmd/indigochute holds all sub-commands and cmd/director links only what serving needs; both call the new package service.

--- /dev/null
+++ b/cmd/director/main_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestExitCodes(t *testing.T) {
+	empty := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(empty, []byte(`{}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("ROUTER_CONFIG", "")
+	for _, c := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"", 2, "sage"}, {"--help", 0, "sage"}, {"dance", 2, "sage"}, {"serve twice", 2, "sage"}, {"--loud", 2, "loud"},
+		{"version", 0, "indigochute"}, {"serve", 1, "ROUTER_CONFIG"}, {"check", 2, "sage"},
+		{"check " + empty, 1, "name: missing"}, {"check " + empty + ".not", 1, "no such file"},
+	} {
+		var out, errs bytes.Buffer
+		if code := run(strings.Fields(c.args), &out, &errs); code != c.code || !strings.Contains(out.String()+errs.String(), c.says) {
+			t.Errorf("%q: exit %d, %s%s", c.args, code, &out, &errs)
+		}
+	}
+}
--- a/cmd/indigochute/main.go
+++ b/cmd/indigochute/main.go
@@ -1,89 +1,95 @@
-// Indigochute is one real director: it serves clients on sockets, by the decisions of the control package.
+// Indigochute is the whole program: a real director and the tools round it, one file a sub-command.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/spf13/pflag"
-
-	"indigochute.example/indigochute/config"
-	"indigochute.example/indigochute/director"
+	"github.com/spf13/cobra"
 )
 
-const usage = `usage: indigochute COMMAND [flags]
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-  serve        serve clients as the file that ROUTER_CONFIG names tells
-  check FILE   read a configuration and report what it says, or its first fault
-  version      print the version
-`
+// wrongCall is a fault of the command line itself, which ends with 2 and not with 1.
+type wrongCall struct{ error }
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+// silent is an error that was told already; it only sets the exit code.
+var silent = errors.New("")
 
-// run returns the exit code: 0, 1 for a failure, 2 for a wrong call.
-func run(args []string, out, errs io.Writer) int {
-	flags := pflag.NewFlagSet("indigochute", pflag.ContinueOnError)
-	flags.SetOutput(errs)
-	verbose := flags.BoolP("verbose", "v", false, "log each req as well")
-	flags.Usage = func() { fmt.Fprintf(errs, "%s\nflags:\n%s", usage, flags.FlagUsages()) }
-	if err := flags.Parse(args); err == pflag.ErrHelp {
-		return 0
-	} else if err != nil {
-		fmt.Fprintln(errs, "indigochute:", err)
-		return 2
+// logging is what the flags for the log say.
+type logging struct {
+	format, level string
+	verbose       bool
+}
+
+func (l *logging) check() (json bool, level logrus.Level, err error) {
+	level, err = logrus.ParseLevel(l.level)
+	if err != nil {
+		return false, 0, wrongCall{fmt.Errorf("--log-level: %w", err)}
 	}
-	var err error
-	switch command, rest := flags.Arg(0), flags.NArg()-1; {
-	case command == "serve" && rest == 0:
-		err = serve(errs, *verbose)
-	case command == "version" && rest == 0:
-		fmt.Fprintln(out, version())
-	case command == "check" && rest == 1:
-		err = check(out, flags.Arg(1))
-	default:
-		flags.Usage()
-		return 2
+	if l.verbose {
+		level = logrus.DebugLevel
 	}
-	if err != nil {
-		fmt.Fprintln(errs, "indigochute:", err)
-		return 1
+	switch l.format {
+	case "text", "json":
+		return l.format == "json", level, nil
 	}
-	return 0
+	return false, 0, wrongCall{fmt.Errorf("--log-format: %q is neither text nor json", l.format)}
 }
 
-func serve(errs io.Writer, verbose bool) error {
-	again := make(chan os.Signal, 1) // one kept while another is worked at: what comes then is read all the same
-	signal.Notify(again, syscall.SIGHUP)
-	conf, err := config.FromEnv()
-	if err != nil {
-		return err
+// root builds the command line.
+func root() *cobra.Command {
+	log := &logging{}
+	c := &cobra.Command{
+		Use:           "indigochute",
+		Short:         "Decide where objects are served, kept and filled from",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args: func(c *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return wrongCall{fmt.Errorf("unknown command %q", args[0])}
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, _ []string) error { return wrongCall{errors.New("a command is expected")} },
 	}
-	out := newLossy(errs)
-	defer out.flush(time.Second)
-	log := logrus.New()
-	log.SetOutput(out)
-	if verbose {
-		log.SetLevel(logrus.DebugLevel)
+	c.PersistentFlags().StringVar(&log.format, "log-format", "text", "form of log lines: text or json")
+	c.PersistentFlags().StringVar(&log.level, "log-level", "info", "least level of log lines: error, warn, info, debug")
+	c.PersistentFlags().BoolVarP(&log.verbose, "verbose", "v", false, "log each req as well, as --log-level debug does")
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return wrongCall{err} })
+	c.AddCommand(serveCommand(log), checkCommand(), versionCommand())
+	return c
+}
+
+// exactly is a number of arguments, told as a wrong call.
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(c, args); err != nil {
+			return wrongCall{err}
+		}
+		return nil
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	director.Limit(conf)
-	return director.New(conf, log.WithField("name", conf.Name)).Run(ctx, again, config.FromEnv)
 }
 
-func check(out io.Writer, path string) error {
-	conf, err := config.File(path, "", "")
-	if err != nil {
-		return err
+// run returns the exit code: 0, 1 for a failure, 2 for a wrong call.
+func run(args []string, out, errs io.Writer) int {
+	c := root()
+	c.SetArgs(args)
+	c.SetOut(out)
+	c.SetErr(errs)
+	called, err := c.ExecuteC()
+	if err == nil {
+		return 0
+	}
+	if err != silent {
+		fmt.Fprintln(errs, "indigochute:", err)
+	}
+	if errors.As(err, &wrongCall{}) {
+		fmt.Fprint(errs, called.UsageString())
+		return 2
 	}
-	fmt.Fprintf(out, "%s listens at %s, journal service at %s\n", conf.Name, conf.Listen, conf.Journal)
-	fmt.Fprintf(out, "limits: %g cores, %d MB, %d sockets\n", conf.Cores, conf.MemoryMB, conf.Sockets)
-	fmt.Fprintf(out, "%d vhosts, %d events known, the last is %d\n", len(conf.Vhosts), len(conf.Known), conf.Last)
-	return nil
+	return 1
 }
--- a/cmd/indigochute/version.go
+++ b/cmd/indigochute/version.go
@@ -1,21 +1,18 @@
 package main
 
 import (
-	"runtime/debug"
-	"strings"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"indigochute.example/indigochute/service"
 )
 
-// version is what the build recorded of the sources.
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "indigochute (unknown)"
-	}
-	parts := []string{"indigochute", info.Main.Version, info.GoVersion}
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			parts = append(parts, s.Value)
-		}
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  exactly(0),
+		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), service.Version()) },
 	}
-	return strings.Join(parts, " ")
 }
--- a/config/config.go
+++ b/config/config.go
@@ -27,6 +27,7 @@
 	Last     uint64       // number of the last event in Known
 	Known    []feed.Event // as of the start
 	Vhosts   []string     // names, in the order of Settings.Vhosts
+	Zones    []string     // names; Settings.Zone is the place of its own
 
 	DialTimeout time.Duration // of a connection to a node
 	ConnIdle    time.Duration // after which nodes close one
@@ -116,6 +117,7 @@
 	if err := json.Unmarshal(parts.Settings, &names); err != nil {
 		return nil, fmt.Errorf("settings.zones, settings.models: %w", err)
 	}
+	c.Zones = names.Zones
 	c.Last, c.Known, err = feed.Known(parts.Known, names.Zones, names.Models)
 	return c, err
 }
--- a/director/conn.go
+++ b/director/conn.go
@@ -242,6 +242,7 @@
 func (c *conn) answer(a resp.Answer) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
+	began := c.reading
 	c.heard, c.reading = c.s.clock.now(), 0
 	x := c.open[a.ID]
 	if x == nil || a.Word == resp.Pong {
@@ -255,7 +256,7 @@
 		e, a.Body = NoMemory, nil
 	}
 	at := c.s.clock.arrived()
-	x.answer, x.held = a, x.at <= at && at < c.heard
+	x.answer, x.first, x.held = a, began, x.at <= at && at < c.heard
 	c.less(x, e)
 }
 
--- a/director/director.go
+++ b/director/director.go
@@ -30,6 +30,7 @@
 	clientNote *note               // their own, so that bad clients drown no other line
 	moves      chan netip.AddrPort // where the journal service is from now on; one place, the newest counts
 	clients    clients
+	watcher    Watcher      // nil: nobody watches
 	leaving    atomic.Bool  // the signal to end has come
 	bodies     atomic.Int64 // bytes held
 
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -70,7 +70,8 @@
 	ending Ending // from here on set before it is handed to the req's task
 	answer resp.Answer
 	took   time.Duration
-	held   bool // we were held back while the answer came
+	first  time.Duration // when its answer began to come
+	held   bool          // we were held back while the answer came
 }
 
 // finish hands the end of a dispatch to its req's task. The first end counts.
--- a/director/req.go
+++ b/director/req.go
@@ -32,11 +32,14 @@
 	left  chan struct{}  // closed when the client has gone
 	leave func()         // closes it
 
-	owed    bool   // the final answer; belongs to the director's lock
-	settled string // how: done, denied, aborted or left; "" while the final answer is due
-	sent    []*dispatch
-	open    int          // of those
-	held    atomic.Int64 // bytes of bodies
+	owed      bool   // the final answer; belongs to the director's lock
+	settled   string // how: done, denied, aborted or left; "" while the final answer is due
+	settledAt time.Duration
+	won       *dispatch   // whose answer was passed on
+	seen      control.Ask // as far as it could be read
+	sent      []*dispatch
+	open      int          // of those
+	held      atomic.Int64 // bytes of bodies
 }
 
 func newReq(d *Director, c *client, m msgpack.Message, came time.Duration) *req {
@@ -52,6 +55,7 @@
 func (r *req) live() {
 	defer r.end()
 	ask, err := r.ask()
+	r.seen = ask
 	if err == nil {
 		err = r.enter(ask)
 	}
@@ -245,6 +249,7 @@
 }
 
 func (r *req) done(x *dispatch) {
+	r.won = x
 	r.from.proved.Store(true)
 	r.from.unfit.Store(0)
 	r.settle("done", func() {
@@ -277,7 +282,7 @@
 	if r.settled != "" {
 		return
 	}
-	r.settled = how
+	r.settled, r.settledAt = how, r.d.clock.now()
 	select {
 	case <-r.left:
 	default:
@@ -296,6 +301,7 @@
 			r.withdraw(n, Withdrawn)
 		}
 	}
+	r.watched()
 	r.from.release(r)
 	r.count(-r.held.Load())
 	if r.d.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
--- a/cmd/indigochute/lossy.go
+++ b/service/lossy.go
@@ -1,4 +1,4 @@
-package main
+package service
 
 import (
 	"fmt"
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,85 @@
+// Package service is what every program of the project that serves clients does around a director: its log, its
+// signals, reading its configuration. What is optional in serving comes in through Options.
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"indigochute.example/indigochute/config"
+	"indigochute.example/indigochute/director"
+)
+
+// Options of serving. The zero value is what the platform runs.
+type Options struct {
+	Level logrus.Level // 0: info
+	JSON  bool         // log lines as JSON
+
+	// Watch, where set, is called once the configuration is read. What it returns is told of every req that ended;
+	// its Close is called after the last.
+	Watch func(*config.Config, *logrus.Entry) (Watcher, error)
+}
+
+// Watcher is told of ended reqs until it is closed.
+type Watcher interface {
+	director.Watcher
+	Close() error
+}
+
+// Serve serves clients as the file that ROUTER_CONFIG names tells, until SIGTERM or SIGINT; SIGHUP reads the file
+// again. Log lines go to errs.
+func Serve(errs io.Writer, o Options) (err error) {
+	again := make(chan os.Signal, 1) // one kept while another is worked at: what comes then is read all the same
+	signal.Notify(again, syscall.SIGHUP)
+	conf, err := config.FromEnv()
+	if err != nil {
+		return err
+	}
+	out := newLossy(errs)
+	defer out.flush(time.Second)
+	log := logrus.New()
+	log.SetOutput(out)
+	if o.JSON {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	if o.Level > 0 {
+		log.SetLevel(o.Level)
+	}
+	entry := log.WithField("name", conf.Name)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	director.Limit(conf)
+	d := director.New(conf, entry)
+	if o.Watch != nil {
+		w, err := o.Watch(conf, entry)
+		if err != nil {
+			return err
+		}
+		defer func() {
+			if e := w.Close(); e != nil && err == nil {
+				err = e
+			}
+		}()
+		d.Watch(w)
+	}
+	return d.Run(ctx, again, config.FromEnv)
+}
+
+// Check reads a configuration and reports what it says, or its first fault.
+func Check(out io.Writer, path string) error {
+	conf, err := config.File(path, "", "")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s listens at %s, journal service at %s\n", conf.Name, conf.Listen, conf.Journal)
+	fmt.Fprintf(out, "limits: %g cores, %d MB, %d sockets\n", conf.Cores, conf.MemoryMB, conf.Sockets)
+	fmt.Fprintf(out, "%d vhosts, %d events known, the last is %d\n", len(conf.Vhosts), len(conf.Known), conf.Last)
+	return nil
+}
