--- a/control/chance.go
+++ b/control/chance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 )
 
 // hash spreads its words evenly; all directors share it.
@@ -33,3 +34,19 @@
 func byHash(obj uint64) func(a, b *node) int {
 	return func(a, b *node) int { return cmp.Compare(hash(obj, uint64(b.id)), hash(obj, uint64(a.id))) }
 }
+
+// Homes ranks machines for an object as every director does: its home comes first.
+func Homes(obj uint64, ids []uint32) {
+	slices.SortFunc(ids, func(a, b uint32) int { return cmp.Compare(hash(obj, uint64(b)), hash(obj, uint64(a))) })
+}
+
+// Home is the first of Homes, without sorting; 0 where there are none.
+func Home(obj uint64, ids []uint32) (home uint32) {
+	var most uint64
+	for _, id := range ids {
+		if h := hash(obj, uint64(id)); home == 0 || h > most {
+			home, most = id, h
+		}
+	}
+	return home
+}
--- a/control/control.go
+++ b/control/control.go
@@ -717,7 +717,7 @@
 	total := d.asks.Sum(now)
 	alpha := 1 / float64(2+len(d.caches)-1)
 	for _, o := range d.table {
-		if hot := o.asks.Sum(now) > max(leastHot, hotShare*total); !hot || len(d.order(o)) < 2 {
+		if !Hot(o.asks.Sum(now), total) || len(d.order(o)) < 2 {
 			o.away = nil
 		} else if len(o.away) == 0 {
 			o.away = []share{{o.order[1], leastAway}}
--- a/control/state.go
+++ b/control/state.go
@@ -348,3 +348,12 @@
 	}
 	return count
 }
+
+// Hot tells whether an object that was asked for so often lately, of so many reqs in all, stands at two caches at least.
+func Hot(asks, total float64) bool { return asks > max(leastHot, hotShare*total) }
+
+// HotSpan is the time over which Hot counts.
+const HotSpan = 2 * loadBuckets * loadWidth
+
+// LeastAway is the part of a hot object that goes to others than its home whatever their loads.
+const LeastAway = leastAway
--- /dev/null
+++ b/model/world.go
@@ -0,0 +1,664 @@
+// Package model is the machines of a fleet without their sockets: caches with cores, slots, waiting room and memory,
+// links that transfers share fairly, parents, the origin; cold starts, falling over, deaths. It reads no clock: calls
+// name the time, which never runs back. The stand-ins on sockets and the planner's replay both run it, each by its own
+// clock, so that both mean the same by a fleet description.
+package model
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/fleet"
+)
+
+// Ask is one req as a cache gets it.
+type Ask struct {
+	ID       uint64 // of the caller's; not that of an open one at the same machine
+	Vhost    int
+	Obj      uint64
+	Part     uint32
+	Bytes    int
+	Source   uint32 // who fills a miss; 0: nobody
+	Rank     uint8
+	Age      time.Duration // the oldest copy that will do; 0: the vhost's fresh time
+	HeldOnly bool
+	Renew    bool
+}
+
+// Word of an answer.
+type Word uint8
+
+const (
+	Done   Word = iota
+	None        // not held or not to be had, never ran
+	Full        // turned away, never ran
+	Failed      // may have run
+	Lost        // the machine died
+)
+
+// Answer ends an ask, unless it was dropped.
+type Answer struct {
+	ID     uint64
+	Node   uint32
+	Word   Word
+	Fill   control.Fill
+	Waited time.Duration // for the source
+	Born   time.Duration // when the origin gave this copy out
+	At     time.Duration
+}
+
+// World is all machines of a fleet.
+type World struct {
+	f        *fleet.Fleet
+	now      time.Duration
+	events   events
+	order    uint64
+	machines map[uint32]*machine
+	list     []*machine
+	net      net
+	zoneLink []*link
+	netDue   *event
+	out      []Answer
+	spare    []Answer // what the last Advance gave out
+	fell     []uint32 // machines that fell over or came back, for whoever tells directors
+}
+
+type machine struct {
+	fleet.Machine
+	up     bool
+	boot   time.Duration // meaningless unless booted
+	booted bool
+	cold   fleet.Cold
+	memory *memory
+	asked  control.Ring // work asked for lately: core seconds, at a parent bytes
+	falls  int
+
+	// caches
+	kind   *fleet.Kind
+	cores  cores
+	due    *event
+	open   map[uint64]*task
+	queue  []*task
+	active int
+
+	// parents and the origin
+	out      *link
+	rate     float64
+	fetches  int
+	most     int
+	fetching map[key]*fetch
+	refused  int
+}
+
+// task is one ask under way at a cache.
+type task struct {
+	Ask
+	m       *machine
+	came    time.Duration
+	fetched time.Duration // when its fill was asked for
+	fill    *fill
+	job     *job
+	note    control.Fill
+	waited  time.Duration
+	born    time.Duration
+	over    bool
+}
+
+// fill is one transfer to a cache.
+type fill struct {
+	to     *machine
+	from   *machine
+	task   *task // nil: renewed behind
+	ask    Ask
+	flow   *flow
+	began  time.Duration
+	ended  bool
+	direct bool
+}
+
+// fetch is one transfer from the origin to a parent; fills of the same part wait for it.
+type fetch struct {
+	k     key
+	flow  *flow
+	wait  []*fill
+	ended bool
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+	place int
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at < e[b].at || e[a].at == e[b].at && e[a].order < e[b].order
+}
+func (e events) Swap(a, b int) {
+	e[a], e[b] = e[b], e[a]
+	e[a].place, e[b].place = a, b
+}
+func (e *events) Push(x any) {
+	x.(*event).place = len(*e)
+	*e = append(*e, x.(*event))
+}
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	last.place = -1
+	return last
+}
+
+const (
+	coldSteps = 40 // of a ramp, in which capacity grows
+	askedEach = 10 // buckets of a window
+	written   = 200
+)
+
+// New makes the machines of a fleet, all up and warm.
+func New(f *fleet.Fleet) *World {
+	w := &World{f: f, machines: map[uint32]*machine{}}
+	for _, z := range f.Zones {
+		w.zoneLink = append(w.zoneLink, w.net.link("link of "+z.Name, float64(z.Link)))
+	}
+	for _, m := range f.Machines() {
+		x := &machine{Machine: m, up: true}
+		switch m.Role {
+		case fleet.Cache:
+			x.kind, x.cold = &f.Kinds[m.Kind], f.Cold
+			x.cores = cores{count: float64(x.kind.Cores), speed: 1}
+			x.memory, x.open = newMemory(float64(x.kind.Memory)), map[uint64]*task{}
+		case fleet.ParentRole:
+			p := f.Parents[m.Kind]
+			x.cold, x.rate, x.most = f.ParentCold, float64(p.Link), p.Fetches
+			x.memory, x.fetching = newMemory(float64(p.Memory)), map[key]*fetch{}
+			x.out = w.net.link("link of "+m.Name, x.rate)
+		case fleet.OriginRole:
+			x.rate, x.most = float64(f.Origin.Link), f.Origin.Fetches
+			x.out = w.net.link("link of the origin", x.rate)
+		}
+		x.asked = control.NewRing(max(time.Millisecond, x.cold.Window.D()/askedEach), askedEach)
+		w.machines[m.ID] = x
+		w.list = append(w.list, x)
+	}
+	return w
+}
+
+// at has something done at a time.
+func (w *World) at(at time.Duration, do func()) *event {
+	w.order++
+	e := &event{at: max(at, w.now), order: w.order, do: do}
+	heap.Push(&w.events, e)
+	return e
+}
+
+func (w *World) cancel(e *event) {
+	if e != nil && e.place >= 0 {
+		heap.Remove(&w.events, e.place)
+	}
+}
+
+// Next is when something happens next by itself.
+func (w *World) Next() (time.Duration, bool) {
+	w.plan()
+	if len(w.events) == 0 {
+		return 0, false
+	}
+	return w.events[0].at, true
+}
+
+// plan sets when the links' next transfer ends, once after all changes of an instant.
+func (w *World) plan() {
+	if !w.net.stale {
+		return
+	}
+	w.cancel(w.netDue)
+	w.netDue = nil
+	if at, ok := w.net.next(); ok {
+		w.netDue = w.at(at, w.moved)
+	}
+}
+
+func (w *World) moved() {
+	w.netDue = nil
+	w.net.stale = true
+	for _, f := range w.net.pop(w.now) {
+		f.done()
+	}
+}
+
+// Advance lets time pass and returns the answers that came, in their order. The slice is good until the next call.
+func (w *World) Advance(now time.Duration) []Answer {
+	for {
+		at, ok := w.Next()
+		if !ok || at > now {
+			break
+		}
+		w.now = max(w.now, at)
+		heap.Pop(&w.events).(*event).do()
+	}
+	w.now = max(w.now, now)
+	out := w.out
+	w.out, w.spare = w.spare[:0], out
+	return out
+}
+
+// Ask hands a req to a cache that is up, at the time of the last Advance; the answer may come with the next one.
+func (w *World) Ask(node uint32, a Ask) {
+	m := w.machines[node]
+	if m == nil || !m.up || m.Role != fleet.Cache {
+		w.out = append(w.out, Answer{ID: a.ID, Node: node, Word: Lost, At: w.now})
+		return
+	}
+	t := &task{Ask: a, m: m, came: w.now}
+	work := m.work(a)
+	m.asked.Add(w.now, work)
+	if w.falls(m, float64(m.kind.Cores)) {
+		w.Kill(node)
+		w.out = append(w.out, Answer{ID: a.ID, Node: node, Word: Lost, At: w.now})
+		w.at(w.now+m.cold.Down.D(), func() { w.Boot(node) })
+		return
+	}
+	switch {
+	case m.active < m.kind.Slots:
+		m.open[a.ID] = t
+		w.start(t)
+	case len(m.queue) < m.kind.Room:
+		m.open[a.ID] = t
+		m.queue = append(m.queue, t)
+	default:
+		w.say(t, Full)
+	}
+}
+
+// work is the core seconds that an answer takes.
+func (m *machine) work(a Ask) float64 {
+	return m.kind.Each.Seconds() + float64(a.Bytes)/float64(m.kind.Pace)
+}
+
+// part is the share of its capacity that a machine has now.
+func (w *World) part(m *machine) float64 {
+	if !m.booted || w.now-m.boot >= m.cold.Ramp.D() {
+		return 1
+	}
+	floor := float64(m.cold.Floor)
+	return floor + (1-floor)*(w.now-m.boot).Seconds()/m.cold.Ramp.Seconds()
+}
+
+// falls tells whether a cold machine is asked for too much: capacity is the work that it does a second when warm.
+func (w *World) falls(m *machine, capacity float64) bool {
+	if m.cold.Multiple == 0 || m.cold.Window == 0 || w.part(m) == 1 || w.now-m.boot < m.cold.Window.D() {
+		return false
+	}
+	return m.asked.Sum(w.now) > m.cold.Multiple*w.part(m)*capacity*m.cold.Window.Seconds()
+}
+
+// start gives a task a slot.
+func (w *World) start(t *task) {
+	m := t.m
+	m.active++
+	v := &w.f.Vhosts[t.Vhost]
+	k := key{t.Obj, t.Part}
+	if c := m.memory.get(k); c != nil && !v.Write && w.young(v, t.Ask, c) {
+		m.memory.use(c, t.Rank)
+		t.born = c.born
+		if t.note = control.Hit; v.Fresh > 0 && w.now-c.born > v.Fresh.D() {
+			t.note = control.Stale
+		}
+		if v.Fresh > 0 && t.Renew && t.Source != 0 && w.now-c.born > v.Fresh.D()/2 {
+			w.fill(&fill{to: m, from: w.machines[t.Source], ask: t.Ask})
+		}
+		w.send(t)
+		return
+	}
+	if t.Source == 0 || t.Source == m.ID {
+		w.say(t, None)
+		return
+	}
+	t.fetched = w.now
+	t.fill = &fill{to: m, from: w.machines[t.Source], task: t, ask: t.Ask}
+	w.fill(t.fill)
+}
+
+// young tells whether a copy is young enough.
+func (w *World) young(v *fleet.Vhost, a Ask, c *copied) bool {
+	most := a.Age
+	if most == 0 {
+		most = v.Fresh.D()
+	}
+	return most == 0 || w.now-c.born <= most
+}
+
+// send sends what a task has.
+func (w *World) send(t *task) {
+	m := t.m
+	t.job = m.cores.add(w.now, m.work(t.Ask), func() { w.say(t, Done) })
+	w.due(m)
+}
+
+// due sets when the next answer of a machine will be whole.
+func (w *World) due(m *machine) {
+	w.cancel(m.due)
+	m.due = nil
+	if at, ok := m.cores.next(); ok {
+		m.due = w.at(at, func() {
+			m.due = nil
+			for _, j := range m.cores.pop(w.now) {
+				j.done()
+			}
+			w.due(m)
+		})
+	}
+}
+
+// say ends a task.
+func (w *World) say(t *task, word Word) {
+	if t.over {
+		return
+	}
+	w.out = append(w.out, Answer{ID: t.ID, Node: t.m.ID, Word: word, Fill: t.note, Waited: t.waited, Born: t.born, At: w.now})
+	w.leave(t)
+}
+
+// leave takes a task off its machine; the next in the waiting room starts.
+func (w *World) leave(t *task) {
+	m := t.m
+	t.over = true
+	if m.open[t.ID] != t { // it never had a place
+		return
+	}
+	delete(m.open, t.ID)
+	if at := slices.Index(m.queue, t); at >= 0 {
+		m.queue = slices.Delete(m.queue, at, at+1)
+		return
+	}
+	m.active--
+	if len(m.queue) > 0 && m.active < m.kind.Slots {
+		next := m.queue[0]
+		m.queue = slices.Delete(m.queue, 0, 1)
+		w.start(next)
+	}
+}
+
+// Drop gives an ask up: there is no answer. Its fill goes on, for the copy.
+func (w *World) Drop(node uint32, id uint64) {
+	m := w.machines[node]
+	if m == nil || m.open[id] == nil {
+		return
+	}
+	t := m.open[id]
+	if t.job != nil {
+		m.cores.remove(w.now, t.job)
+		w.due(m)
+	}
+	if t.fill != nil {
+		t.fill.task = nil
+	}
+	w.leave(t)
+}
+
+// fill asks the source for what a cache lacks.
+func (w *World) fill(f *fill) {
+	f.began = w.now
+	if f.from == nil || f.from.Role == fleet.Cache {
+		w.filled(f, control.SourceUnreached, 0)
+		return
+	}
+	w.at(w.now+w.f.Hop.D()*time.Duration(1+w.hops(f.to.Zone, f.from)), func() { w.ask(f) })
+}
+
+// hops counts the hubs between a zone and a machine; the hubs stand in a ring.
+func (w *World) hops(zone int, m *machine) int {
+	if m.Role == fleet.OriginRole {
+		return 0
+	}
+	hubs := 0
+	for _, z := range w.f.Zones {
+		hubs = max(hubs, z.Hub+1)
+	}
+	way := (w.f.Zones[m.Zone].Hub - w.f.Zones[zone].Hub + hubs) % hubs
+	return min(way, hubs-way)
+}
+
+// ask is a fill that has come to its source.
+func (w *World) ask(f *fill) {
+	s, k := f.from, key{f.ask.Obj, f.ask.Part}
+	v := &w.f.Vhosts[f.ask.Vhost]
+	if f.ended {
+		return
+	}
+	if !s.up {
+		w.filled(f, control.SourceUnreached, 0)
+		return
+	}
+	if s.Role == fleet.OriginRole {
+		if s.fetches >= s.most {
+			s.refused++
+			w.filled(f, control.SourceRefused, 0)
+			return
+		}
+		s.fetches++
+		f.direct = true
+		bytes := float64(f.ask.Bytes)
+		if v.Write {
+			bytes = written
+		}
+		w.at(w.now+w.f.Origin.Latency.D(), func() {
+			born := w.now
+			f.flow = w.net.begin(w.now, bytes, func() {
+				s.fetches--
+				w.filled(f, control.FilledByOrigin, born)
+			}, s.out, w.zoneLink[f.to.Zone])
+		})
+		return
+	}
+	s.asked.Add(w.now, float64(f.ask.Bytes))
+	if w.falls(s, s.rate) {
+		w.Kill(s.ID)
+		w.at(w.now+s.cold.Down.D(), func() { w.Boot(s.ID) })
+		w.filled(f, control.SourceUnreached, 0)
+		return
+	}
+	if c := s.memory.get(k); c != nil && w.young(v, f.ask, c) {
+		s.memory.use(c, 2)
+		w.pass(f, c.born)
+		return
+	}
+	if f.ask.HeldOnly {
+		w.filled(f, control.SourceLacks, 0)
+		return
+	}
+	if x := s.fetching[k]; x != nil {
+		x.wait = append(x.wait, f)
+		return
+	}
+	if s.fetches >= s.most {
+		s.refused++
+		w.filled(f, control.SourceRefused, 0)
+		return
+	}
+	s.fetches++
+	x := &fetch{k: k, wait: []*fill{f}}
+	s.fetching[k] = x
+	origin := w.list[len(w.list)-1]
+	w.at(w.now+w.f.Origin.Latency.D(), func() {
+		if x.ended {
+			return
+		}
+		born := w.now
+		x.flow = w.net.begin(w.now, float64(f.ask.Bytes), func() {
+			s.fetches--
+			delete(s.fetching, k)
+			x.ended = true
+			s.memory.put(k, float64(f.ask.Bytes), 2, born)
+			for _, g := range x.wait {
+				w.pass(g, born)
+			}
+		}, origin.out)
+	})
+}
+
+// pass sends what a parent has to the cache that asked.
+func (w *World) pass(f *fill, born time.Duration) {
+	if !f.ended {
+		f.flow = w.net.begin(w.now, float64(f.ask.Bytes), func() { w.filled(f, control.Filled, born) },
+			f.from.out, w.zoneLink[f.to.Zone])
+	}
+}
+
+// filled ends a fill, well or not.
+func (w *World) filled(f *fill, note control.Fill, born time.Duration) {
+	if f.ended {
+		return
+	}
+	f.ended = true
+	good := note == control.Filled || note == control.FilledByOrigin
+	if v := &w.f.Vhosts[f.ask.Vhost]; good && !v.Write && f.to.up {
+		f.to.memory.put(key{f.ask.Obj, f.ask.Part}, float64(f.ask.Bytes), f.ask.Rank, born)
+	}
+	t := f.task
+	if t == nil || t.over {
+		return
+	}
+	t.note, t.waited, t.born = note, w.now-t.fetched, born
+	switch {
+	case good:
+		w.send(t)
+	case note == control.SourceUnreached:
+		w.say(t, Failed)
+	default:
+		w.say(t, None)
+	}
+}
+
+// Kill takes a machine away at once: what it had open is lost, its memory is gone.
+func (w *World) Kill(node uint32) {
+	m := w.machines[node]
+	if m == nil || !m.up || m.Role == fleet.OriginRole {
+		return
+	}
+	m.up, m.falls = false, m.falls+1
+	w.fell = append(w.fell, node)
+	m.memory = newMemory(m.memory.most)
+	for _, f := range slices.Clone(w.net.flows) {
+		for _, l := range f.links {
+			if l != nil && l == m.out {
+				w.net.end(w.now, f)
+			}
+		}
+	}
+	if m.Role == fleet.ParentRole {
+		w.killParent(m)
+		return
+	}
+	var ids []uint64
+	for id := range m.open {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	m.queue = nil
+	for _, id := range ids {
+		t := m.open[id]
+		if t.job != nil {
+			m.cores.remove(w.now, t.job)
+		}
+		if f := t.fill; f != nil && !f.ended {
+			f.task = nil
+			if f.flow != nil && !f.flow.ended {
+				w.net.end(w.now, f.flow)
+				f.ended = true
+				if f.direct {
+					f.from.fetches--
+				}
+			}
+		}
+		t.over = true
+		w.out = append(w.out, Answer{ID: id, Node: node, Word: Lost, At: w.now})
+	}
+	m.open, m.active = map[uint64]*task{}, 0
+	w.due(m)
+}
+
+// killParent fails every fill that the parent was to give.
+func (w *World) killParent(p *machine) {
+	var waits []*fill
+	for _, m := range w.list {
+		var ids []uint64
+		for id, t := range m.open {
+			if t.fill != nil && t.fill.from == p && !t.fill.ended {
+				ids = append(ids, id)
+			}
+		}
+		slices.Sort(ids)
+		for _, id := range ids {
+			waits = append(waits, m.open[id].fill)
+		}
+	}
+	for _, x := range p.fetching {
+		x.ended = true
+		w.net.end(w.now, x.flow)
+	}
+	p.fetching, p.fetches = map[key]*fetch{}, 0
+	for _, f := range waits {
+		w.filled(f, control.SourceUnreached, 0)
+	}
+}
+
+// Boot brings a machine back, cold and empty.
+func (w *World) Boot(node uint32) {
+	m := w.machines[node]
+	if m == nil || m.up {
+		return
+	}
+	m.up, m.booted, m.boot = true, true, w.now
+	m.asked = control.NewRing(max(time.Millisecond, m.cold.Window.D()/askedEach), askedEach)
+	w.fell = append(w.fell, node)
+	w.ramp(m, m.boot)
+}
+
+// ramp lets a cold machine's capacity grow in steps.
+func (w *World) ramp(m *machine, boot time.Duration) {
+	if !m.up || m.boot != boot {
+		return
+	}
+	part := w.part(m)
+	if m.Role == fleet.Cache {
+		m.cores.settle(w.now)
+		m.cores.speed = part
+		w.due(m)
+	} else {
+		w.net.set(w.now, m.out, m.rate*part)
+	}
+	if part < 1 {
+		w.at(w.now+max(time.Millisecond, m.cold.Ramp.D()/coldSteps), func() { w.ramp(m, boot) })
+	}
+}
+
+// Prime puts a copy into a machine that is up, as if it had been there since born.
+func (w *World) Prime(node uint32, obj uint64, part uint32, bytes int, rank uint8, born time.Duration) {
+	if m := w.machines[node]; m != nil && m.up && m.memory != nil {
+		m.memory.put(key{obj, part}, float64(bytes), rank, born)
+	}
+}
+
+// Changed tells which machines died or came back since the last call, for whoever tells directors so.
+func (w *World) Changed() []uint32 {
+	list := w.fell
+	w.fell = nil
+	return list
+}
+
+// Up tells whether a machine is, whether it started within the world's time, and when.
+func (w *World) Up(node uint32) (up, booted bool, boot time.Duration) {
+	m := w.machines[node]
+	if m == nil {
+		return false, false, 0
+	}
+	return m.up, m.booted, m.boot
+}
--- /dev/null
+++ b/plan/answer.go
@@ -0,0 +1,83 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// LateMost is how late a measuring machine may itself be before its figures are void.
+const LateMost = 8 * time.Millisecond
+
+// Answer is all that a plan tells.
+type Answer struct {
+	Fleet  string  `json:"fleet"`
+	Goal   string  `json:"goal"`
+	Reqs   int     `json:"reqs"`
+	Rate   float64 `json:"rate"` // reqs a second as captured
+	Span   float64 `json:"span_s"`
+	Burst  float64 `json:"burst"`
+	Limits []Limit `json:"limits"` // by the load that would fill them, waiting not counted
+	First  *Break  `json:"break"`
+	Causes []Cause `json:"causes"`
+	Wanted float64 `json:"wanted"` // factor of load at which the goal is to hold
+	Met    bool    `json:"met"`
+	Why    string  `json:"why,omitempty"` // where it is not met
+	Losses []*Hurt `json:"losses,omitempty"`
+}
+
+const (
+	causesTold = 3
+	limitsTold = 12
+)
+
+// Answer answers what breaks first, whether the goal holds at the rate that it names, and what the losses that it
+// names do.
+func (p *Planner) Answer() (*Answer, error) {
+	a := &Answer{Fleet: p.Fleet.Name, Goal: p.Goal.String(), Reqs: len(p.Demand.Reqs), Rate: p.Demand.Rate(-1),
+		Span: p.Demand.Span.Seconds(), Burst: p.Demand.Burst()}
+	var err error
+	if a.Wanted, err = p.Goal.Factor(p.Demand); err != nil {
+		return nil, err
+	}
+	if a.First, err = p.Break(p.Fleet, Blow{}); err != nil {
+		return nil, err
+	}
+	a.Limits = Bounds(p.Fleet, p.Demand, a.First.Factor)
+	a.Limits = a.Limits[:min(limitsTold, len(a.Limits))]
+	if a.Causes, err = p.Causes(a.First, Blow{}, causesTold); err != nil {
+		return nil, err
+	}
+	if a.Met = !a.First.Never && (a.First.Held || a.First.Factor >= a.Wanted); !a.Met {
+		a.Why = fmt.Sprintf("the goal breaks at %.3g times the captured load and is wanted at %.3g times", a.First.Factor, a.Wanted)
+		if len(a.Causes) > 0 {
+			a.Why += ": " + a.Causes[0].Limit.Name + "'s " + a.Causes[0].Limit.What + " stands in the way"
+		}
+	}
+	for _, l := range p.Goal.Also {
+		h, err := p.Loss(l, a.Wanted)
+		if err != nil {
+			return nil, err
+		}
+		a.Losses = append(a.Losses, h)
+		if !h.Met {
+			a.Met = false
+			if a.Why == "" {
+				a.Why = "the goal does not hold " + h.What
+			}
+		}
+	}
+	return a, nil
+}
+
+// Lines tells what of a capture is not in the demand, a line a reason.
+func (d *Demand) Lines() (lines []string) {
+	for why, n := range d.LeftOut {
+		lines = append(lines, fmt.Sprintf("%d %s", n, why))
+	}
+	slices.Sort(lines)
+	if d.Guessed > 0 {
+		lines = append(lines, fmt.Sprintf("%d reqs have a size that no answer told; it was drawn from the vhost's sizes", d.Guessed))
+	}
+	return lines
+}
--- /dev/null
+++ b/plan/search.go
@@ -0,0 +1,378 @@
+package plan
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"indigochute.example/indigochute/fleet"
+	"indigochute.example/indigochute/model"
+)
+
+// Player runs plays, perhaps several at a time, and returns their results in the order of the setups.
+type Player func(f *fleet.Fleet, d *Demand, setups []Setup) ([]*Result, error)
+
+// OneByOne is the plain Player.
+func OneByOne(f *fleet.Fleet, d *Demand, setups []Setup) (results []*Result, err error) {
+	for _, s := range setups {
+		r, err := Play(f, d, s)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, r)
+	}
+	return results, nil
+}
+
+// Planner answers questions of one fleet and one demand.
+type Planner struct {
+	Fleet  *fleet.Fleet
+	Demand *Demand
+	Goal   *Goal
+	Player Player
+	Seeds  []uint64
+	Warm   time.Duration // of each play
+	Span   time.Duration // that counts
+}
+
+// New makes a planner with the usual lengths of plays.
+func New(f *fleet.Fleet, d *Demand, g *Goal, player Player, seed uint64) *Planner {
+	return &Planner{Fleet: f, Demand: d, Goal: g, Player: player, Seeds: []uint64{seed, seed + 1, seed + 2}, Warm: 5 * time.Second,
+		Span: 15 * time.Second}
+}
+
+// Point is a goal's share at one factor of load, over all seeds.
+type Point struct {
+	Factor float64 `json:"factor"`
+	Rate   float64 `json:"rate"`
+	Share  float64 `json:"share"`
+	Asked  int     `json:"asked"`
+	Denied int     `json:"denied"`
+	Late   int     `json:"late"`
+	Falls  int     `json:"falls"`
+}
+
+// Break is where a goal breaks.
+type Break struct {
+	Factor  float64   `json:"factor"` // of the captured load
+	Rate    float64   `json:"rate"`   // reqs a second, all vhosts
+	Low     float64   `json:"low"`    // the reqs that were counted support no closer bounds on the factor
+	High    float64   `json:"high"`
+	Held    bool      `json:"held"`  // the goal held at all loads that could be tried, the last of which is Factor
+	Never   bool      `json:"never"` // the goal broke at all loads that could be tried, the least of which is Factor
+	Why     string    `json:"why,omitempty"`
+	Points  []Point   `json:"points"` // by factor
+	Uses    []Use     `json:"uses"`   // of limits at the break, the fullest first
+	Results []*Result `json:"-"`      // plays next to the break
+}
+
+// Use is how full a limit was.
+type Use struct {
+	Name string  `json:"name"`
+	What string  `json:"what"`
+	Used float64 `json:"used"`
+	use  model.Use
+}
+
+const (
+	coarse     = 8    // factors tried at once
+	mostRounds = 5    // of going up or down
+	apart      = 1.25 // ratio between factors when going up or down
+)
+
+// Break finds the load at which the goal breaks, under a blow or without.
+func (p *Planner) Break(f *fleet.Fleet, blow Blow) (*Break, error) {
+	bound := math.Inf(1)
+	for _, l := range Bounds(f, p.Demand, 1) {
+		bound = min(bound, l.Factor)
+	}
+	if math.IsInf(bound, 1) {
+		bound = 1
+	}
+	br := &Break{}
+	var factors []float64
+	for i := range coarse {
+		factors = append(factors, bound*math.Pow(apart, float64(i-coarse+2)))
+	}
+	for round := 0; ; round++ {
+		if err := p.try(f, blow, br, factors, p.Seeds[:1]); err != nil {
+			var short Short
+			if !errors.As(err, &short) {
+				return nil, err
+			}
+			keep := factors[:0]
+			for _, x := range factors { // as far as the capture's length carries
+				if x < short.Factor {
+					keep = append(keep, x)
+				}
+			}
+			if factors = keep; len(factors) == 0 {
+				if len(br.Points) == 0 {
+					return nil, err
+				}
+				br.Why = err.Error()
+				break
+			}
+			round--
+			continue
+		}
+		lowest, highest := p.holds(br.Points[0]), p.holds(br.Points[len(br.Points)-1])
+		if lowest && !highest || round == mostRounds {
+			break
+		}
+		var next []float64
+		if !lowest {
+			for i := 1; i <= coarse/2; i++ {
+				next = append(next, br.Points[0].Factor/math.Pow(apart, float64(i)))
+			}
+		} else {
+			for i := 1; i <= coarse/2; i++ {
+				next = append(next, br.Points[len(br.Points)-1].Factor*math.Pow(apart, float64(i)))
+			}
+		}
+		factors = next
+	}
+	first, last := br.Points[0], br.Points[len(br.Points)-1]
+	switch {
+	case !p.holds(first):
+		br.Never, br.Factor, br.Rate = true, first.Factor, first.Rate
+		return br, p.finish(br)
+	case p.holds(last):
+		br.Held, br.Factor, br.Rate = true, last.Factor, last.Rate
+		return br, p.finish(br)
+	}
+	for range 2 { // closer, with all seeds
+		low, high := p.bracket(br.Points)
+		var mid []float64
+		for i := 0; i <= 5; i++ {
+			mid = append(mid, low*math.Pow(high/low, float64(i)/5))
+		}
+		if err := p.try(f, blow, br, mid, p.Seeds); err != nil {
+			return nil, err
+		}
+	}
+	br.Factor = Crossing(br.Points, p.Goal.share)
+	br.Rate = p.Demand.Rate(-1) * br.Factor
+	br.Low, br.High = p.unsure(br)
+	return br, p.finish(br)
+}
+
+func (p *Planner) holds(x Point) bool { return x.Share >= p.Goal.share }
+
+// bracket is the factors between which the goal breaks.
+func (p *Planner) bracket(points []Point) (low, high float64) {
+	at := Crossing(points, p.Goal.share)
+	low, high = points[0].Factor, points[len(points)-1].Factor
+	for _, x := range points {
+		if x.Factor < at*0.999 {
+			low = x.Factor
+		}
+	}
+	for _, x := range slices.Backward(points) {
+		if x.Factor > at*1.001 {
+			high = x.Factor
+		}
+	}
+	return low, high
+}
+
+// try plays at factors and adds what came of it.
+func (p *Planner) try(f *fleet.Fleet, blow Blow, br *Break, factors []float64, seeds []uint64) error {
+	var setups []Setup
+	for _, x := range factors {
+		for _, seed := range seeds {
+			setups = append(setups, Setup{Factor: x, Seed: seed, Warm: p.Warm, Span: p.Span, Blow: blow})
+		}
+	}
+	results, err := p.Player(f, p.Demand, setups)
+	if err != nil {
+		return err
+	}
+	br.Results = append(br.Results, results...)
+	br.Points = Points(br.Results, p.Goal)
+	return nil
+}
+
+// Points adds results up by factor.
+func Points(results []*Result, g *Goal) (points []Point) {
+	for _, r := range results {
+		at := slices.IndexFunc(points, func(x Point) bool { return math.Abs(x.Factor/r.Factor-1) < 1e-9 })
+		if at < 0 {
+			at = len(points)
+			points = append(points, Point{Factor: r.Factor, Rate: r.Rate})
+		}
+		x, t := &points[at], r.Tally(g.vhost)
+		x.Share = (x.Share*float64(x.Asked) + float64(t.Met)) / float64(max(1, x.Asked+t.Asked))
+		x.Asked += t.Asked
+		x.Denied += t.Denied
+		x.Late += t.Late
+		x.Falls += r.Falls
+	}
+	slices.SortFunc(points, func(a, b Point) int { return cmp.Compare(a.Factor, b.Factor) })
+	return points
+}
+
+// Level makes shares fall with load throughout, as more load serves nobody better: neighbours that do not are taken
+// together. (Pool adjacent violators.)
+func Level(points []Point) []float64 {
+	type pool struct {
+		share, asked float64
+		n            int
+	}
+	var pools []pool
+	for _, x := range points {
+		pools = append(pools, pool{x.Share, float64(max(1, x.Asked)), 1})
+		for len(pools) > 1 && pools[len(pools)-1].share > pools[len(pools)-2].share {
+			a, b := pools[len(pools)-2], pools[len(pools)-1]
+			pools = append(pools[:len(pools)-2], pool{(a.share*a.asked + b.share*b.asked) / (a.asked + b.asked), a.asked + b.asked, a.n + b.n})
+		}
+	}
+	var shares []float64
+	for _, x := range pools {
+		for range x.n {
+			shares = append(shares, x.share)
+		}
+	}
+	return shares
+}
+
+// Crossing is the factor at which the levelled shares fall below what is wanted; the first or last factor where they
+// do so nowhere.
+func Crossing(points []Point, want float64) float64 {
+	shares := Level(points)
+	for i, s := range shares {
+		if s >= want {
+			continue
+		}
+		if i == 0 {
+			return points[0].Factor
+		}
+		a, b := points[i-1], points[i]
+		return a.Factor + (b.Factor-a.Factor)*(shares[i-1]-want)/(shares[i-1]-s)
+	}
+	return points[len(points)-1].Factor
+}
+
+// unsure is how far the crossing may lie off, as far as the number of reqs counted tells.
+func (p *Planner) unsure(br *Break) (low, high float64) {
+	asked := 0
+	for _, x := range br.Points {
+		if math.Abs(x.Factor/br.Factor-1) < 0.1 {
+			asked += x.Asked
+		}
+	}
+	want := p.Goal.share
+	off := 2 * math.Sqrt(max(want*(1-want), 1e-4)/float64(max(1, asked)))
+	low, high = Crossing(br.Points, min(1-1e-6, want+off)), Crossing(br.Points, want-off)
+	return min(low, br.Factor), max(high, br.Factor)
+}
+
+// finish tells how full limits were in the plays next to the break.
+func (p *Planner) finish(br *Break) error {
+	nearest := slices.MinFunc(br.Results, func(a, b *Result) int {
+		return cmp.Compare(math.Abs(math.Log(a.Factor/br.Factor)), math.Abs(math.Log(b.Factor/br.Factor)))
+	})
+	for _, u := range nearest.Uses {
+		br.Uses = append(br.Uses, Use{Name: u.Name, What: u.What, Used: u.Used, use: u})
+	}
+	slices.SortStableFunc(br.Uses, func(a, b Use) int { return cmp.Compare(b.Used, a.Used) })
+	return nil
+}
+
+// Cause is a limit that breaks the goal, and where the next one would.
+type Cause struct {
+	Limit Use    `json:"limit"`
+	Break *Break `json:"break"` // with all causes before it relieved
+}
+
+const (
+	relief    = 3.0  // times as much of a limit, when asking whether it is the cause
+	telling   = 1.05 // a break that moves by less was not for it
+	suspected = 0.35 // used less than this a limit is none
+)
+
+// Causes tells what breaks the goal first and what would follow: of the limits that are full, the one whose relief
+// moves the break furthest.
+func (p *Planner) Causes(first *Break, blow Blow, count int) (causes []Cause, err error) {
+	f, br := p.Fleet, first
+	for len(causes) < count && !br.Held {
+		best, cause := (*Break)(nil), Use{}
+		var relieved *fleet.Fleet
+		tried := map[string]bool{}
+		for _, u := range br.Uses {
+			group := fmt.Sprint(u.What, u.use.Kind, u.use.Zone, u.use.ID>>30)
+			if u.Used < suspected || tried[group] || len(tried) >= 4 {
+				continue
+			}
+			tried[group] = true
+			g := Relieve(f, u.use, relief)
+			b, err := p.quick(g, blow, br.Factor)
+			if err != nil {
+				return nil, err
+			}
+			if best == nil || b.Factor > best.Factor {
+				best, cause, relieved = b, u, g
+			}
+		}
+		if best == nil || best.Factor < br.Factor*telling {
+			break
+		}
+		causes = append(causes, Cause{cause, br})
+		if len(causes) == count {
+			break
+		}
+		if br, err = p.Break(relieved, blow); err != nil {
+			return nil, err
+		}
+		f = relieved
+	}
+	return causes, nil
+}
+
+// quick finds roughly how far above a factor the goal holds.
+func (p *Planner) quick(f *fleet.Fleet, blow Blow, from float64) (*Break, error) {
+	br := &Break{}
+	factors := []float64{from, from * 1.08, from * 1.2, from * 1.4, from * 1.7, from * 2.2}
+	for len(factors) > 0 {
+		err := p.try(f, blow, br, factors, p.Seeds[:1])
+		var short Short
+		if err == nil {
+			break
+		}
+		if !errors.As(err, &short) {
+			return nil, err
+		}
+		factors = slices.DeleteFunc(factors, func(x float64) bool { return x >= short.Factor })
+	}
+	if len(br.Points) == 0 {
+		br.Factor = from
+		return br, nil
+	}
+	br.Factor = Crossing(br.Points, p.Goal.share)
+	return br, nil
+}
+
+// Relieve is the fleet with more of one limit.
+func Relieve(f *fleet.Fleet, u model.Use, times float64) *fleet.Fleet {
+	g := f.Clone()
+	switch {
+	case u.What == "cores":
+		k := &g.Kinds[u.Kind]
+		k.Cores = int(math.Ceil(float64(k.Cores) * times))
+		k.Slots, k.Room = int(float64(k.Slots)*times), int(float64(k.Room)*times)
+	case u.ID == 0:
+		g.Zones[u.Zone].Link *= fleet.Rate(times)
+	case u.ID == originID:
+		g.Origin.Link *= fleet.Rate(times)
+		g.Origin.Fetches = int(float64(g.Origin.Fetches) * times)
+	default:
+		g.Parents[u.Kind].Link *= fleet.Rate(times)
+		g.Parents[u.Kind].Fetches = int(float64(g.Parents[u.Kind].Fetches) * times)
+	}
+	return g
+}
+
+const originID = 0x7fffffff
