--- a/capture/capture.go
+++ b/capture/capture.go
@@ -32,7 +32,8 @@
 	headSize    = 30
 	mostPayload = 16 << 20
 	mostRaw     = 64 << 20
-	mostRows    = 1 << 20 // of one frame
+	mostRows    = 1 << 20     // of one frame
+	backMost    = time.Second // that one req's end may be written after a later one's
 )
 
 const (
@@ -300,9 +301,12 @@
 		}
 	}
 	c.Rows = kept
-	for i := 1; i < len(kept); i++ {
-		if kept[i].At < kept[i-1].At {
+	last := time.Duration(0) // rows are written as reqs end
+	for i := range kept {
+		if ended := kept[i].At + kept[i].Whole; ended < last-backMost {
 			c.Report.Back++
+		} else {
+			last = max(last, ended)
 		}
 	}
 	slices.SortStableFunc(kept, func(a, b Row) int { return cmp.Compare(a.At, b.At) })
--- a/control/control.go
+++ b/control/control.go
@@ -256,7 +256,7 @@
 // a rush on a new object would else fill it once for each req and jam the link. Ends with that fill.
 func (d *Director) waits(now time.Duration, r *req) bool {
 	f := r.part.filling
-	if r.v.Write || f == nil || f.late || len(r.sent) > 0 || now-r.came > r.patient {
+	if r.v.Write || f == nil || f.late || len(r.sent) > 0 || now-r.came >= r.patient {
 		return false
 	}
 	d.move(now, r, queued)
