--- a/cmd/indigochute/plan.go
+++ b/cmd/indigochute/plan.go
@@ -99,6 +99,7 @@
 		Args: exactly(1),
 	}
 	p.add(c)
+	c.AddCommand(measureCommand(p))
 	c.RunE = func(c *cobra.Command, args []string) error {
 		q, err := p.question(args[0])
 		if err != nil {
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -206,3 +206,20 @@
 	}
 	return reqs[:cut], reqs[cut:], warm, span, nil
 }
+
+// Part names one part of an object.
+type Part struct {
+	Obj   uint64
+	Part  uint32
+	Vhost int16
+}
+
+// Sizes are the bytes of every part in the demand.
+func (d *Demand) Sizes() map[Part]int32 {
+	sizes := map[Part]int32{}
+	for i := range d.Reqs {
+		r := &d.Reqs[i]
+		sizes[Part{r.Obj, r.Part, r.Vhost}] = r.Bytes
+	}
+	return sizes
+}
--- /dev/null
+++ b/standin/player.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"indigochute.example/indigochute/fleet"
+	"indigochute.example/indigochute/plan"
+)
+
+// Player plays setups on sockets, in real time, by real directors: the measured side of what plan.Play predicts.
+type Player struct {
+	AtOnce int // plays side by side, on cores that they must not fill
+
+	mu     sync.Mutex
+	Broken []string      // rules seen broken
+	Late   time.Duration // the worst lateness of any play
+	Plays  int
+}
+
+// Void tells that the measuring machine was too late itself.
+type Void struct{ Late time.Duration }
+
+func (v Void) Error() string {
+	return fmt.Sprintf("void: this machine was %v late itself, over %v; give it more free cores or less load", v.Late, plan.LateMost)
+}
+
+// Play is a plan.Player. A play on which the machine was late is played once more, alone; then all is void.
+func (p *Player) Play(f *fleet.Fleet, d *plan.Demand, setups []plan.Setup) ([]*plan.Result, error) {
+	results, errs := make([]*plan.Result, len(setups)), make([]error, len(setups))
+	for i := range setups { // whatever cannot be played at all is told before time is spent
+		if _, _, _, _, err := d.Window(setups[i].Factor, setups[i].Warm, setups[i].Span); err != nil {
+			return nil, err
+		}
+	}
+	places := make(chan struct{}, max(1, p.AtOnce))
+	var all sync.WaitGroup
+	for i := range setups {
+		places <- struct{}{}
+		all.Go(func() {
+			results[i], errs[i] = p.one(f, d, setups[i])
+			<-places
+		})
+	}
+	all.Wait()
+	for i, err := range errs {
+		if _, void := err.(Void); void {
+			results[i], err = p.one(f, d, setups[i])
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return results, nil
+}
+
+func (p *Player) one(f *fleet.Fleet, d *plan.Demand, s plan.Setup) (*plan.Result, error) {
+	prime, reqs, warm, span, err := d.Window(s.Factor, s.Warm, s.Span)
+	if err != nil {
+		return nil, err
+	}
+	sizes := d.Sizes()
+	x, err := Start(f, Options{Seed: s.Seed, Sizes: func(vhost int, obj uint64, part uint32) int {
+		if n, ok := sizes[plan.Part{Obj: obj, Part: part, Vhost: int16(vhost)}]; ok {
+			return int(n)
+		}
+		return f.Vhosts[vhost].SizeOf(obj, part)
+	}})
+	if err != nil {
+		return nil, err
+	}
+	defer x.Close()
+	if err := x.Direct(); err != nil {
+		return nil, err
+	}
+	x.Prime(plan.Primed(f, prime))
+	l := x.NewLoad(reqs, warm, span)
+	look := x.Look()
+	falls := 0
+	l.begin = time.Now()
+	end := time.NewTimer(warm + span)
+	defer end.Stop()
+	var uses sync.WaitGroup
+	var r *plan.Result
+	uses.Go(func() {
+		<-end.C
+		u := x.Uses(look)
+		falls = x.Falls() - len(s.Blow.Cold) - len(s.Blow.Gone)
+		l.mu.Lock()
+		l.result.Uses = u
+		l.mu.Unlock()
+	})
+	r = l.Run(context.Background(), func() {
+		if !s.Blow.None() {
+			for _, id := range s.Blow.Gone {
+				x.Kill(id)
+			}
+			x.Restart(s.Blow.Cold...)
+			if len(s.Blow.Zones) > 0 {
+				l.Lose(s.Blow.Zones, s.Blow.Stay)
+			}
+		}
+		look = x.Look()
+	})
+	uses.Wait()
+	r.Factor, r.Rate, r.Falls = s.Factor, float64(len(reqs))/(warm+span).Seconds(), falls
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Plays++
+	p.Broken = append(p.Broken, x.Violations()...)
+	late := max(l.Late(), x.Late())
+	p.Late = max(p.Late, late)
+	if late > plan.LateMost {
+		return nil, Void{late}
+	}
+	return r, nil
+}
