--- a/cmd/indigochute/plan.go
+++ b/cmd/indigochute/plan.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"sync"
@@ -13,6 +16,7 @@
 	"indigochute.example/indigochute/capture"
 	"indigochute.example/indigochute/fleet"
 	"indigochute.example/indigochute/plan"
+	"indigochute.example/indigochute/report"
 )
 
 // planFlags are those of plan and its sub-commands.
@@ -99,7 +103,8 @@
 		Args: exactly(1),
 	}
 	p.add(c)
-	c.AddCommand(measureCommand(p))
+	dir := c.Flags().String("report", "", "write plan.html, one page with charts, into this folder as well")
+	c.AddCommand(measureCommand(p), needCommand(p))
 	c.RunE = func(c *cobra.Command, args []string) error {
 		q, err := p.question(args[0])
 		if err != nil {
@@ -112,6 +117,11 @@
 		for _, w := range q.warnings {
 			fmt.Fprintln(c.ErrOrStderr(), "note:", w)
 		}
+		if *dir != "" {
+			if err := writeReport(*dir, q, a); err != nil {
+				return err
+			}
+		}
 		if p.json {
 			err = printJSON(c.OutOrStdout(), struct {
 				*plan.Answer
@@ -133,3 +143,14 @@
 	e.SetIndent("", " ")
 	return e.Encode(v)
 }
+
+func writeReport(dir string, q *question, a *plan.Answer) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	if err := report.Write(&b, report.Input{Fleet: q.fleet, Demand: q.demand, Goal: q.goal, Answer: a, Notes: q.warnings}); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "plan.html"), b.Bytes(), 0o644)
+}
--- /dev/null
+++ b/cmd/indigochute/rehearse.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"indigochute.example/indigochute/rehearse"
+)
+
+func rehearseCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:     "rehearse NAME",
+		Short:   "Play a subsystem's failures against stand-ins on loopback",
+		Long:    "Plays scripted failures against stand-ins, under a minute. Ends with 1 where something was seen that should not be.\nrehearse list names what there is.",
+		Example: "  indigochute rehearse list\n  indigochute rehearse plan --seed 7 --json",
+		Args:    exactly(1),
+	}
+	seed := c.Flags().Uint64("seed", 1, "of all that is drawn")
+	json := c.Flags().Bool("json", false, "print JSON")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		out := c.OutOrStdout()
+		if args[0] == "list" {
+			for _, x := range rehearse.All() {
+				fmt.Fprintf(out, "%-10s %s\n", x.Name, x.Says)
+			}
+			return nil
+		}
+		r, err := rehearse.Run(args[0], *seed)
+		if err != nil {
+			return err
+		}
+		if *json {
+			err = printJSON(out, r)
+		} else {
+			t := newTable(out, r.Name, "")
+			var names []string
+			for name := range r.Figures {
+				names = append(names, name)
+			}
+			slices.Sort(names)
+			for _, name := range names {
+				t.AppendRow([]any{name, fmt.Sprintf("%.4g", r.Figures[name])})
+			}
+			t.Render()
+			for _, v := range r.Violations {
+				fmt.Fprintln(out, "violation:", v)
+			}
+		}
+		if err == nil && !r.Passed {
+			err = silent
+		}
+		return err
+	}
+	return c
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,11 +15,11 @@
 // Fleet is one description.
 type Fleet struct {
 	Name    string   `yaml:"name" validate:"required" jsonschema:"description=what reports call it"`
-	Zones   []Zone   `yaml:"zones" validate:"required,min=1,max=250,unique=Name,dive"`
-	Kinds   []Kind   `yaml:"kinds" validate:"required,min=1,max=200,unique=Name,dive" jsonschema:"description=of caches"`
+	Zones   []Zone   `yaml:"zones" validate:"required,min=1,max=250,dive"`
+	Kinds   []Kind   `yaml:"kinds" validate:"required,min=1,max=200,dive" jsonschema:"description=of caches"`
 	Parents []Parent `yaml:"parents" validate:"dive" jsonschema:"description=caches behind the caches; none: the origin fills all"`
 	Origin  Origin   `yaml:"origin" validate:"required"`
-	Vhosts  []Vhost  `yaml:"vhosts" validate:"required,min=1,max=250,unique=Name,dive"`
+	Vhosts  []Vhost  `yaml:"vhosts" validate:"required,min=1,max=250,dive"`
 
 	Flow       Rate      `yaml:"flow" validate:"gt=0" jsonschema:"description=of one answer at full pace; a req's sending time is its bytes by this"`
 	Cold       Cold      `yaml:"cold" jsonschema:"description=what a cache stands that started lately"`
--- a/fleet/read.go
+++ b/fleet/read.go
@@ -286,8 +286,7 @@
 		}
 		p := e.Param()
 		expects := map[string]string{"required": "a value", "gt": "more than " + p, "gte": p + " or more", "lte": p + " or less",
-			"min": p + " or more", "max": p + " or less", "oneof": "one of " + p, "unique": "no two of one " + strings.ToLower(p),
-			"gtefield": "no less than " + strings.ToLower(p)}[e.Tag()]
+			"min": p + " or more", "max": p + " or less", "oneof": "one of " + p, "gtefield": "no less than " + strings.ToLower(p)}[e.Tag()]
 		if expects == "" {
 			expects = e.Tag() + " " + p
 		}
@@ -300,6 +299,29 @@
 
 // check tells what the tags cannot: names that point nowhere, zones that nobody serves.
 func (f *Fleet) check(fault func(key, found, expects string)) {
+	twice := func(list string, names []string) {
+		for i, name := range names {
+			if slices.Index(names, name) < i {
+				fault(fmt.Sprintf("%s[%d].name", list, i), "«"+name+"» a second time", "another name")
+			}
+		}
+	}
+	var names [4][]string
+	for _, z := range f.Zones {
+		names[0] = append(names[0], z.Name)
+	}
+	for _, k := range f.Kinds {
+		names[1] = append(names[1], k.Name)
+	}
+	for _, p := range f.Parents {
+		names[2] = append(names[2], p.Name)
+	}
+	for _, v := range f.Vhosts {
+		names[3] = append(names[3], v.Name)
+	}
+	for i, list := range []string{"zones", "kinds", "parents", "vhosts"} {
+		twice(list, names[i])
+	}
 	zones := f.zones()
 	caches := map[string]int{}
 	all := 0
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -223,3 +223,8 @@
 	}
 	return sizes
 }
+
+// DemandOf takes the demand from reqs, which come by arrival.
+func DemandOf(reqs []Req) *Demand {
+	return &Demand{Reqs: reqs, Span: reqs[len(reqs)-1].At, LeftOut: map[string]int{}}
+}
