--- a/model/use.go
+++ b/model/use.go
@@ -21,7 +21,7 @@
 	at    time.Duration
 	busy  []float64
 	moved []float64
-	fails []int
+	fetch []float64
 }
 
 // Look takes the books as they stand.
@@ -33,7 +33,8 @@
 			m.cores.settle(w.now)
 		}
 		l.busy = append(l.busy, m.cores.busy)
-		l.fails = append(l.fails, m.refused)
+		w.fetching(m, 0)
+		l.fetch = append(l.fetch, m.fetched)
 	}
 	for _, k := range w.net.links {
 		l.moved = append(l.moved, k.moved)
@@ -61,9 +62,8 @@
 		}
 		uses = append(uses, Use{Name: m.Name, What: "link", Zone: m.Zone, Kind: m.Kind, ID: m.ID, Used: (now.moved[at] - since.moved[at]) / span / m.rate})
 		at++
-		if refused := now.fails[i] - since.fails[i]; refused > 0 {
-			uses = append(uses, Use{Name: m.Name, What: "fetches", Zone: m.Zone, Kind: m.Kind, ID: m.ID, Used: 1})
-		}
+		uses = append(uses, Use{Name: m.Name, What: "fetches", Zone: m.Zone, Kind: m.Kind, ID: m.ID,
+			Used: (now.fetch[i] - since.fetch[i]) / span / float64(m.most)})
 	}
 	return uses
 }
--- a/model/world.go
+++ b/model/world.go
@@ -89,7 +89,8 @@
 	fetches  int
 	most     int
 	fetching map[key]*fetch
-	refused  int
+	fetched  float64 // seconds of fetches under way so far
+	fetchAt  time.Duration
 }
 
 // task is one ask under way at a cache.
@@ -439,11 +440,10 @@
 	}
 	if s.Role == fleet.OriginRole {
 		if s.fetches >= s.most {
-			s.refused++
 			w.filled(f, control.SourceRefused, 0)
 			return
 		}
-		s.fetches++
+		w.fetching(s, 1)
 		f.direct = true
 		bytes := float64(f.ask.Bytes)
 		if v.Write {
@@ -452,7 +452,7 @@
 		w.at(w.now+w.f.Origin.Latency.D(), func() {
 			born := w.now
 			f.flow = w.net.begin(w.now, bytes, func() {
-				s.fetches--
+				w.fetching(s, -1)
 				w.filled(f, control.FilledByOrigin, born)
 			}, s.out, w.zoneLink[f.to.Zone])
 		})
@@ -479,11 +479,10 @@
 		return
 	}
 	if s.fetches >= s.most {
-		s.refused++
 		w.filled(f, control.SourceRefused, 0)
 		return
 	}
-	s.fetches++
+	w.fetching(s, 1)
 	x := &fetch{k: k, wait: []*fill{f}}
 	s.fetching[k] = x
 	origin := w.list[len(w.list)-1]
@@ -493,7 +492,7 @@
 		}
 		born := w.now
 		x.flow = w.net.begin(w.now, float64(f.ask.Bytes), func() {
-			s.fetches--
+			w.fetching(s, -1)
 			delete(s.fetching, k)
 			x.ended = true
 			s.memory.put(k, float64(f.ask.Bytes), 2, born)
@@ -504,6 +503,12 @@
 	})
 }
 
+// fetching counts the fetches under way from the origin.
+func (w *World) fetching(m *machine, by int) {
+	m.fetched += float64(m.fetches) * (w.now - m.fetchAt).Seconds()
+	m.fetches, m.fetchAt = m.fetches+by, w.now
+}
+
 // pass sends what a parent has to the cache that asked.
 func (w *World) pass(f *fill, born time.Duration) {
 	if !f.ended {
@@ -574,7 +579,7 @@
 				w.net.end(w.now, f.flow)
 				f.ended = true
 				if f.direct {
-					f.from.fetches--
+					w.fetching(f.from, -1)
 				}
 			}
 		}
@@ -604,7 +609,8 @@
 		x.ended = true
 		w.net.end(w.now, x.flow)
 	}
-	p.fetching, p.fetches = map[key]*fetch{}, 0
+	w.fetching(p, -p.fetches)
+	p.fetching = map[key]*fetch{}
 	for _, f := range waits {
 		w.filled(f, control.SourceUnreached, 0)
 	}
--- a/plan/search.go
+++ b/plan/search.go
@@ -57,9 +57,10 @@
 
 // Break is where a goal breaks.
 type Break struct {
-	Factor  float64   `json:"factor"` // of the captured load
-	Rate    float64   `json:"rate"`   // reqs a second, all vhosts
-	Low     float64   `json:"low"`    // the reqs that were counted support no closer bounds on the factor
+	Factor float64 `json:"factor"` // of the captured load
+	Rate   float64 `json:"rate"`   // reqs a second, all vhosts
+	Low    float64 `json:"low"`    // the reqs that were counted, and how the fullest limit's load varies from
+	// time to time, support no closer bounds on the factor than these two
 	High    float64   `json:"high"`
 	Held    bool      `json:"held"`  // the goal held at all loads that could be tried, the last of which is Factor
 	Never   bool      `json:"never"` // the goal broke at all loads that could be tried, the least of which is Factor
@@ -157,7 +158,15 @@
 	br.Factor = Crossing(br.Points, p.Goal.share)
 	br.Rate = p.Demand.Rate(-1) * br.Factor
 	br.Low, br.High = p.unsure(br)
-	return br, p.finish(br)
+	if err := p.finish(br); err != nil {
+		return nil, err
+	}
+	for _, l := range Bounds(f, p.Demand, br.Factor) { // another stretch of time would fill what breaks more or less
+		if u := br.top(); u.Name == l.Name && u.What == l.What {
+			br.Low, br.High = min(br.Low, br.Factor*l.Low/l.Factor), max(br.High, br.Factor*l.High/l.Factor)
+		}
+	}
+	return br, nil
 }
 
 func (p *Planner) holds(x Point) bool { return x.Share >= p.Goal.share }
@@ -282,6 +291,14 @@
 	return nil
 }
 
+// top is the limit that was fullest.
+func (br *Break) top() Use {
+	if len(br.Uses) == 0 {
+		return Use{}
+	}
+	return br.Uses[0]
+}
+
 // Cause is a limit that breaks the goal, and where the next one would.
 type Cause struct {
 	Limit Use    `json:"limit"`
