--- a/cmd/indigochute/plan.go
+++ b/cmd/indigochute/plan.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync"
 
@@ -44,7 +45,11 @@
 	warnings []string
 }
 
+// memoryMost is what planning may hold before it collects harder.
+const memoryMost = 400e6
+
 func (p *planFlags) question(path string) (*question, error) {
+	debug.SetMemoryLimit(memoryMost)
 	f, err := fleet.Read(path)
 	if err != nil {
 		return nil, err
--- a/control/control.go
+++ b/control/control.go
@@ -724,7 +724,16 @@
 		}
 	}
 	for _, home := range d.caches {
+		var hot []*object
+		for _, o := range d.table {
+			if len(o.away) > 0 && o.order[0] == home {
+				hot = append(hot, o)
+			}
+		}
 		for _, j := range d.caches {
+			if len(hot) == 0 {
+				break
+			}
 			if j == home || home.aside > now || j.aside > now {
 				continue
 			}
@@ -732,12 +741,10 @@
 			noise := math.Sqrt(home.load.Sum(now)+j.load.Sum(now)) / home.load.Span().Seconds()
 			gap = alpha * math.Copysign(max(0, math.Abs(gap)-noiseTimes*noise), gap)
 			atHome, atJ := 0.0, 0.0
-			for _, o := range d.table {
-				if len(o.away) > 0 && o.order[0] == home { // a hot one
-					rate := o.asks.Rate(now)
-					atHome += rate * (1 - o.awayAt(nil))
-					atJ += rate * o.awayAt(j)
-				}
+			for _, o := range hot {
+				rate := o.asks.Rate(now)
+				atHome += rate * (1 - o.awayAt(nil))
+				atJ += rate * o.awayAt(j)
 			}
 			shift, at := min(atHome, gap), atHome
 			if gap < 0 {
@@ -746,10 +753,8 @@
 			if at <= 0 {
 				continue
 			}
-			for _, o := range d.table {
-				if len(o.away) > 0 && o.order[0] == home { // a hot one
-					o.shift(j, shift/at)
-				}
+			for _, o := range hot {
+				o.shift(j, shift/at)
 			}
 		}
 	}
--- a/model/world.go
+++ b/model/world.go
@@ -653,6 +653,16 @@
 	}
 }
 
+// Narrow leaves a parent or the origin only a part of its link and fetches, where others that are not in this world
+// take the rest.
+func (w *World) Narrow(node uint32, part float64) {
+	if m := w.machines[node]; m != nil && m.out != nil {
+		m.rate *= part
+		m.most = max(1, int(float64(m.most)*part))
+		w.net.set(w.now, m.out, m.rate)
+	}
+}
+
 // Changed tells which machines died or came back since the last call, for whoever tells directors so.
 func (w *World) Changed() []uint32 {
 	list := w.fell
--- a/plan/demand.go
+++ b/plan/demand.go
@@ -7,6 +7,7 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -193,20 +194,22 @@
 		return nil, nil, 0, 0, Short{factor, d.Span, want, len(d.Reqs)}
 	}
 	begin := all - warm - span
-	reqs := make([]Req, len(d.Reqs))
-	cut := len(reqs)
-	for i, r := range d.Reqs {
-		r.At = time.Duration(float64(r.At)/factor) - begin
-		if reqs[i] = r; r.At >= 0 && cut == len(reqs) {
-			cut = i
-		}
+	at := func(r Req) time.Duration { return time.Duration(float64(r.At)/factor) - begin }
+	cut, _ := slices.BinarySearchFunc(d.Reqs, 0, func(r Req, _ int) int { return cmp.Compare(at(r), 0) })
+	if len(d.Reqs)-cut < leastReqs {
+		return nil, nil, 0, 0, Short{factor, d.Span, want, len(d.Reqs) - cut}
 	}
-	if len(reqs)-cut < leastReqs {
-		return nil, nil, 0, 0, Short{factor, d.Span, want, len(reqs) - cut}
+	first := max(0, cut-primeMost)
+	reqs := slices.Clone(d.Reqs[first:])
+	for i := range reqs {
+		reqs[i].At = at(reqs[i])
 	}
-	return reqs[:cut], reqs[cut:], warm, span, nil
+	return reqs[:cut-first], reqs[cut-first:], warm, span, nil
 }
 
+// primeMost reqs before a play fill memories.
+const primeMost = 40_000
+
 // Part names one part of an object.
 type Part struct {
 	Obj   uint64
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -4,8 +4,12 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"testing/quick"
 	"time"
@@ -382,6 +386,36 @@
 	}
 }
 
+// atOnce plays on all cores, as the command does.
+func atOnce(f *fleet.Fleet, d *Demand, setups []Setup) ([]*Result, error) {
+	results := make([]*Result, len(setups))
+	places := make(chan bool, runtime.GOMAXPROCS(0))
+	var all sync.WaitGroup
+	for i, s := range setups {
+		places <- true
+		all.Go(func() {
+			results[i], _ = Play(f, d, s)
+			<-places
+		})
+	}
+	all.Wait()
+	for i, r := range results {
+		if r == nil {
+			_, err := Play(f, d, setups[i])
+			return nil, err
+		}
+	}
+	return results, nil
+}
+
+// resident reports the most memory that the process ever held.
+func resident(b *testing.B) {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) == nil {
+		b.ReportMetric(float64(u.Maxrss)/1000, "MB-resident")
+	}
+}
+
 func BenchmarkCurve(b *testing.B) {
 	chance := rand.New(rand.NewPCG(1, 1))
 	objs := make([]uint64, 1<<16)
@@ -410,13 +444,16 @@
 	f.Kinds[0].Cores, f.Kinds[0].Slots, f.Kinds[0].Memory = 40, 200, 100e6
 	f.Zones[0].Link, f.Zones[1].Link = 40e6, 40e6
 	d := made(f, 1000, 1000*time.Second, 100000, 1)
+	debug.SetMemoryLimit(400e6) // as the command sets it
 	b.ReportAllocs()
 	for b.Loop() {
 		p := planner(b, f, d, "all 95% in its aim", 1)
+		p.Player = atOnce
 		if _, err := p.Answer(); err != nil {
 			b.Fatal(err)
 		}
 	}
+	resident(b)
 }
 
 func BenchmarkManyCaches(b *testing.B) {
@@ -435,10 +472,12 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				p := planner(b, f, d, "all 95% in its aim", 1)
+				p.Player = atOnce
 				if _, err := p.Break(f, Blow{}); err != nil {
 					b.Fatal(err)
 				}
 			}
+			resident(b)
 		})
 	}
 }
--- a/plan/search.go
+++ b/plan/search.go
@@ -36,6 +36,12 @@
 	Seeds  []uint64
 	Warm   time.Duration // of each play
 	Span   time.Duration // that counts
+
+	focused focused
+	known   struct {
+		fleet  *fleet.Fleet
+		limits []Limit
+	}
 }
 
 // New makes a planner with the usual lengths of plays.
@@ -79,15 +85,18 @@
 }
 
 const (
-	coarse     = 8    // factors tried at once
-	mostRounds = 5    // of going up or down
-	apart      = 1.25 // ratio between factors when going up or down
+	playMost   = 15_000          // reqs of a play, from which on it is played for a shorter time,
+	leastPlay  = 4 * time.Second // but for no less than this
+	coarse     = 8               // factors tried at once
+	finer      = 5               // factors tried within a bracket
+	mostRounds = 5               // of going up or down
+	apart      = 1.25            // ratio between factors when going up or down
 )
 
 // Break finds the load at which the goal breaks, under a blow or without.
 func (p *Planner) Break(f *fleet.Fleet, blow Blow) (*Break, error) {
 	bound := math.Inf(1)
-	for _, l := range Bounds(f, p.Demand, 1) {
+	for _, l := range p.bounds(f) {
 		bound = min(bound, l.Factor)
 	}
 	if math.IsInf(bound, 1) {
@@ -145,13 +154,17 @@
 		br.Held, br.Factor, br.Rate = true, last.Factor, last.Rate
 		return br, p.finish(br)
 	}
-	for range 2 { // closer, with all seeds
+	for round := range 2 { // closer, at last with all seeds
 		low, high := p.bracket(br.Points)
 		var mid []float64
-		for i := 0; i <= 5; i++ {
-			mid = append(mid, low*math.Pow(high/low, float64(i)/5))
+		for i := 1; i <= finer; i++ {
+			mid = append(mid, low*math.Pow(high/low, float64(i)/(finer+1)))
 		}
-		if err := p.try(f, blow, br, mid, p.Seeds); err != nil {
+		seeds := p.Seeds
+		if round == 0 || p.Demand.Rate(-1)*br.Points[0].Factor*leastPlay.Seconds() > playMost/2 { // one counts enough
+			seeds = seeds[:1]
+		}
+		if err := p.try(f, blow, br, mid, seeds); err != nil {
 			return nil, err
 		}
 	}
@@ -161,7 +174,7 @@
 	if err := p.finish(br); err != nil {
 		return nil, err
 	}
-	for _, l := range Bounds(f, p.Demand, br.Factor) { // another stretch of time would fill what breaks more or less
+	for _, l := range p.bounds(f) { // another stretch of time would fill what breaks more or less
 		if u := br.top(); u.Name == l.Name && u.What == l.What {
 			br.Low, br.High = min(br.Low, br.Factor*l.Low/l.Factor), max(br.High, br.Factor*l.High/l.Factor)
 		}
@@ -169,6 +182,14 @@
 	return br, nil
 }
 
+// bounds is Bounds at the captured load, kept, as it goes over the whole demand.
+func (p *Planner) bounds(f *fleet.Fleet) []Limit {
+	if p.known.fleet != f {
+		p.known.fleet, p.known.limits = f, Bounds(f, p.Demand, 1)
+	}
+	return p.known.limits
+}
+
 func (p *Planner) holds(x Point) bool { return x.Share >= p.Goal.share }
 
 // bracket is the factors between which the goal breaks.
@@ -190,13 +211,20 @@
 
 // try plays at factors and adds what came of it.
 func (p *Planner) try(f *fleet.Fleet, blow Blow, br *Break, factors []float64, seeds []uint64) error {
+	g, d, others := p.focus(f, blow)
+	rate := d.Rate(-1)
 	var setups []Setup
 	for _, x := range factors {
+		warm, span := p.Warm, p.Span
+		if most := playMost / (rate * x); blow.None() && most < (warm+span).Seconds() { // enough is counted in less time
+			by := max(most/(warm+span).Seconds(), leastPlay.Seconds()/(warm+span).Seconds())
+			warm, span = time.Duration(by*float64(warm)), time.Duration(by*float64(span))
+		}
 		for _, seed := range seeds {
-			setups = append(setups, Setup{Factor: x, Seed: seed, Warm: p.Warm, Span: p.Span, Blow: blow})
+			setups = append(setups, Setup{Factor: x, Seed: seed, Warm: warm, Span: span, Blow: blow, Others: others})
 		}
 	}
-	results, err := p.Player(f, p.Demand, setups)
+	results, err := p.Player(g, d, setups)
 	if err != nil {
 		return err
 	}
@@ -308,6 +336,7 @@
 const (
 	relief    = 3.0  // times as much of a limit, when asking whether it is the cause
 	telling   = 1.05 // a break that moves by less was not for it
+	suspects  = 3    // limits, or groups of like ones, that are looked at
 	suspected = 0.35 // used less than this a limit is none
 )
 
@@ -321,7 +350,7 @@
 		tried := map[string]bool{}
 		for _, u := range br.Uses {
 			group := fmt.Sprint(u.What, u.use.Kind, u.use.Zone, u.use.ID>>30)
-			if u.Used < suspected || tried[group] || len(tried) >= 4 {
+			if u.Used < suspected || tried[group] || len(tried) >= suspects {
 				continue
 			}
 			tried[group] = true
@@ -352,7 +381,7 @@
 // quick finds roughly how far above a factor the goal holds.
 func (p *Planner) quick(f *fleet.Fleet, blow Blow, from float64) (*Break, error) {
 	br := &Break{}
-	factors := []float64{from, from * 1.08, from * 1.2, from * 1.4, from * 1.7, from * 2.2}
+	factors := []float64{from, from * 1.1, from * 1.3, from * 1.7, from * 2.2}
 	for len(factors) > 0 {
 		err := p.try(f, blow, br, factors, p.Seeds[:1])
 		var short Short
--- a/standin/player.go
+++ b/standin/player.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"indigochute.example/indigochute/fleet"
+	"indigochute.example/indigochute/model"
 	"indigochute.example/indigochute/plan"
 )
 
@@ -76,6 +77,13 @@
 		return nil, err
 	}
 	x.Prime(plan.Primed(f, prime))
+	x.with(func(w *model.World) {
+		for i, m := range x.list {
+			if i < len(s.Others) && s.Others[i] > 0 {
+				w.Narrow(m.ID, max(plan.LeastLeft, 1-s.Others[i]*s.Factor))
+			}
+		}
+	})
 	l := x.NewLoad(reqs, warm, span)
 	look := x.Look()
 	falls := 0
