--- a/model/model_test.go
+++ b/model/model_test.go
@@ -283,9 +283,34 @@
 			t.Fatalf("seed %d: %d asks and %d transfers left over", seed, len(open), len(w.net.flows))
 		}
 		for _, m := range w.list {
-			if m.active != 0 || len(m.queue) != 0 || m.fetches != 0 {
+			if m.active != 0 || len(m.queue) != 0 || m.fetches != 0 || len(m.renews) != 0 {
 				t.Fatalf("seed %d: %s has %d in slots, %d waiting, %d fetches", seed, m.Name, m.active, len(m.queue), m.fetches)
 			}
 		}
 	}
 }
+
+// Hits on an ageing copy renew it behind, once however many come meanwhile, also where the parent dies amid it.
+func TestRenewsBehind(t *testing.T) {
+	w, c, parent, _ := world(t)
+	w.Prime(c, 5, 0, 1000, 2, 0)
+	w.Advance(1500 * time.Millisecond) // of 2 s fresh
+	for i := range uint64(4) {
+		w.Ask(c, Ask{ID: i + 1, Obj: 5, Bytes: 1000, Source: parent, Rank: 2, Renew: true})
+	}
+	if n := len(w.machines[c].renews); n != 1 {
+		t.Errorf("%d renewals under way", n)
+	}
+	w.Advance(1600 * time.Millisecond)
+	if at := w.machines[c].memory.get(key{5, 0}).born; at < 1500*time.Millisecond || len(w.machines[c].renews) != 0 {
+		t.Errorf("born at %v", at)
+	}
+	w.Advance(3100 * time.Millisecond)
+	w.Ask(c, Ask{ID: 9, Obj: 5, Bytes: 1000, Source: parent, Rank: 2, Renew: true})
+	w.Advance(3102 * time.Millisecond)
+	w.Kill(parent)
+	w.Advance(4 * time.Second)
+	if n := len(w.machines[c].renews); n != 0 {
+		t.Errorf("%d renewals by a dead parent", n)
+	}
+}
--- a/model/world.go
+++ b/model/world.go
@@ -82,6 +82,7 @@
 	open   map[uint64]*task
 	queue  []*task
 	active int
+	renews map[key]*fill
 
 	// parents and the origin
 	out      *link
@@ -175,6 +176,7 @@
 			x.kind, x.cold = &f.Kinds[m.Kind], f.Cold
 			x.cores = cores{count: float64(x.kind.Cores), speed: 1}
 			x.memory, x.open = newMemory(float64(x.kind.Memory)), map[uint64]*task{}
+			x.renews = map[key]*fill{}
 		case fleet.ParentRole:
 			p := f.Parents[m.Kind]
 			x.cold, x.rate, x.most = f.ParentCold, float64(p.Link), p.Fetches
@@ -312,8 +314,9 @@
 		if t.note = control.Hit; v.Fresh > 0 && w.now-c.born > v.Fresh.D() {
 			t.note = control.Stale
 		}
-		if v.Fresh > 0 && t.Renew && t.Source != 0 && w.now-c.born > v.Fresh.D()/2 {
-			w.fill(&fill{to: m, from: w.machines[t.Source], ask: t.Ask})
+		if v.Fresh > 0 && t.Renew && t.Source != 0 && w.now-c.born > v.Fresh.D()/2 && m.renews[k] == nil {
+			m.renews[k] = &fill{to: m, from: w.machines[t.Source], ask: t.Ask} // one at a time, however many hits meanwhile
+			w.fill(m.renews[k])
 		}
 		w.send(t)
 		return
@@ -523,6 +526,9 @@
 		return
 	}
 	f.ended = true
+	if k := (key{f.ask.Obj, f.ask.Part}); f.to.renews[k] == f {
+		delete(f.to.renews, k)
+	}
 	good := note == control.Filled || note == control.FilledByOrigin
 	if v := &w.f.Vhosts[f.ask.Vhost]; good && !v.Write && f.to.up {
 		f.to.memory.put(key{f.ask.Obj, f.ask.Part}, float64(f.ask.Bytes), f.ask.Rank, born)
@@ -586,7 +592,7 @@
 		t.over = true
 		w.out = append(w.out, Answer{ID: id, Node: node, Word: Lost, At: w.now})
 	}
-	m.open, m.active = map[uint64]*task{}, 0
+	m.open, m.active, m.renews = map[uint64]*task{}, 0, map[key]*fill{}
 	w.due(m)
 }
 
@@ -601,6 +607,12 @@
 			}
 		}
 		slices.Sort(ids)
+		for k, f := range m.renews {
+			if f.from == p {
+				f.ended = true
+				delete(m.renews, k)
+			}
+		}
 		for _, id := range ids {
 			waits = append(waits, m.open[id].fill)
 		}
--- a/plan/goal.go
+++ b/plan/goal.go
@@ -133,7 +133,11 @@
 
 func (l *Loss) String() string {
 	if l.After == nil {
-		return "while " + l.Cold + " returns cold at once"
+		what := l.Cold
+		if _, word := parts[what]; word && what != "half" {
+			what = "a " + what
+		}
+		return "while " + what + " returns cold at once"
 	}
 	s := "after the loss of " + l.After.What + " " + l.After.Name
 	if l.After.Gone {
--- a/plan/loss.go
+++ b/plan/loss.go
@@ -34,7 +34,7 @@
 	Count  int     `json:"count"` // of them that return cold
 	Sets   int     `json:"sets"`  // looked at
 	Exact  bool    `json:"exact"` // all there are
-	Worst  float64 `json:"worst"` // reqs short, by the reckoning without waiting
+	Worst  float64 `json:"worst"` // core seconds short, by the reckoning without waiting
 	High   float64 `json:"p95"`
 	Median float64 `json:"median"`
 }
@@ -151,11 +151,12 @@
 	exactMost = 20_000 // sets that are all looked at; of more a sample
 	sampled   = 2_000
 	coldStep  = 250 * time.Millisecond
+	movedCost = 0.01 // of work that others take over without falling short: what tells sets apart that hurt nobody
 )
 
 // Worst finds which machines hurt most if so many of all caches return cold together. A set's hurt is the work that
 // finds no room while they warm up: what their homes are asked for, less what cold ones may take and others have to
-// spare, and what the zone's link cannot fill.
+// spare, and what the zone's link cannot fill; and a little for all that moves.
 func (p *Planner) Worst(part, factor float64) Set {
 	f := p.Fleet
 	var caches []fleet.Machine
@@ -334,7 +335,7 @@
 			need := l.load / max(1e-12, zone.perByte) * left / max(1, l.bytes)
 			unfilled := max(0, need-zone.link) * zone.perByte
 			left = max(0, left-min(need, zone.link)*coldStep.Seconds())
-			cost += max(short, min(unfilled, l.load)) * coldStep.Seconds()
+			cost += (max(short, min(unfilled, l.load)) + movedCost*l.load*(1-part)) * coldStep.Seconds()
 		}
 	}
 	return cost
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -117,7 +117,7 @@
 	f := testFleet(t)
 	for text, want := range map[string]string{
 		"page 98% in its aim at 300 reqs/s": "page 98% in its aim at 300 reqs/s",
-		"all 99.5% in their aim also after the loss of zone east also while a fifth returns cold at once": "all 99.5% in its aim also after the loss of zone east also while fifth returns cold at once",
+		"all 99.5% in their aim also after the loss of zone east also while a fifth returns cold at once": "all 99.5% in its aim also after the loss of zone east also while a fifth returns cold at once",
 		"order 90% in its aim also while 12.5% return cold":                                               "order 90% in its aim also while 12.5% returns cold at once",
 		"page 98% in its aim also after the loss of zone east with its clients":                           "page 98% in its aim also after the loss of zone east with its clients",
 	} {
--- a/plan/play.go
+++ b/plan/play.go
@@ -127,24 +127,32 @@
 // at the parents that directors ask first.
 func Primed(f *fleet.Fleet, before []Req) (copies []Copy) {
 	zones := newHomes(f)
-	seen := map[partKey]bool{}
+	type zoned struct {
+		partKey
+		zone int
+	}
+	born := map[zoned]time.Duration{}
 	for i := range before {
 		r := &before[i]
-		if f.Vhosts[r.Vhost].Write {
+		v := &f.Vhosts[r.Vhost]
+		if v.Write {
 			continue
 		}
 		z := f.Serving(int(r.Zone), nil)
-		k := partKey{r.Obj, r.Part}
-		rank := uint8(1)
-		if seen[k] {
+		k := zoned{partKey{r.Obj, r.Part}, z}
+		rank, at := uint8(1), r.At
+		if first, again := born[k]; again {
 			rank = 2
+			if v.Fresh == 0 || r.At-first <= v.Fresh.D() { // it was filled then and not since
+				at = first
+			}
 		}
-		seen[k] = true
+		born[k] = at
 		if home := zones.home(z, r.Obj); home != 0 {
-			copies = append(copies, Copy{home, r.Obj, r.Part, int(r.Bytes), rank, r.At})
+			copies = append(copies, Copy{home, r.Obj, r.Part, int(r.Bytes), rank, at})
 		}
 		if p := zones.parent(z, r.Obj); p != 0 {
-			copies = append(copies, Copy{p, r.Obj, r.Part, int(r.Bytes), 2, r.At})
+			copies = append(copies, Copy{p, r.Obj, r.Part, int(r.Bytes), 2, at})
 		}
 	}
 	return copies
--- a/report/report.go
+++ b/report/report.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"html/template"
 	"image/color"
@@ -14,7 +15,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+	"gonum.org/v1/plot/vg/vgimg"
 
 	"indigochute.example/indigochute/fleet"
 	"indigochute.example/indigochute/plan"
@@ -33,8 +34,8 @@
 type Chart struct {
 	Name  string // of a file
 	Title string
-	Says  string // what is to be seen
-	SVG   template.HTML
+	Says  string       // what is to be seen
+	PNG   template.URL // the picture itself
 }
 
 var (
@@ -52,20 +53,20 @@
 	return p
 }
 
-func render(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
-	c := vgsvg.New(width, height)
-	p.Draw(draw.New(c))
+// render draws pixels, since a page's reader may lack the fonts that a drawing in SVG measured its words by.
+func render(p *plot.Plot, width, height vg.Length) (template.URL, error) {
+	c := vgimg.NewWith(vgimg.UseWH(width, height), vgimg.UseDPI(dpi))
+	all := draw.New(c)
+	p.Draw(draw.Crop(all, vg.Points(4), -vg.Points(10), vg.Points(4), -vg.Points(6)))
 	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
+	if _, err := (vgimg.PngCanvas{Canvas: c}).WriteTo(&b); err != nil {
 		return "", err
 	}
-	_, svg, ok := bytes.Cut(b.Bytes(), []byte("<svg")) // without the XML head, which HTML has no place for
-	if !ok {
-		return "", fmt.Errorf("report: no picture was drawn")
-	}
-	return template.HTML("<svg" + string(svg)), nil
+	return template.URL("data:image/png;base64," + base64.StdEncoding.EncodeToString(b.Bytes())), nil
 }
 
+const dpi = 160
+
 func line(p *plot.Plot, c color.Color, name string, xys plotter.XYs, dashed bool) error {
 	l, err := plotter.NewLine(xys)
 	if err != nil {
@@ -132,8 +133,8 @@
 	p.Y.Max = 101
 	p.Legend.Top = false
 	p.Legend.Left = true
-	svg, err := render(p, 16*vg.Centimeter, 8*vg.Centimeter)
-	return &Chart{"load", "Load and the goal", says, svg}, err
+	png, err := render(p, 16*vg.Centimeter, 8*vg.Centimeter)
+	return &Chart{"load", "Load and the goal", says, png}, err
 }
 
 // fullnessChart is how full each limit was at the break.
@@ -158,9 +159,10 @@
 	bars.Horizontal, bars.Color, bars.LineStyle.Width = true, blue, 0
 	p.Add(bars)
 	p.NominalY(names...)
+	p.Y.Padding = vg.Points(4)
 	p.X.Min, p.X.Max = 0, 100
-	svg, err := render(p, 16*vg.Centimeter, vg.Length(2+0.5*float64(len(names)))*vg.Centimeter)
-	return &Chart{"fullness", "Fullness where the goal breaks", "Cores of caches and links of zones, parents and the origin, the fullest on top.", svg}, err
+	png, err := render(p, 16*vg.Centimeter, vg.Length(2+0.5*float64(len(names)))*vg.Centimeter)
+	return &Chart{"fullness", "Fullness where the goal breaks", "Cores of caches and links of zones, parents and the origin, the fullest on top.", png}, err
 }
 
 // shortfallChart is the goal's share over time after each loss.
@@ -188,8 +190,8 @@
 	}
 	p.Y.Max = 101
 	p.Legend.Top = false
-	svg, err := render(p, 16*vg.Centimeter, 8*vg.Centimeter)
-	return &Chart{"shortfall", "After a loss", "Share in their aim by half second, all vhosts, from the moment of the loss on.", svg}, err
+	png, err := render(p, 16*vg.Centimeter, 8*vg.Centimeter)
+	return &Chart{"shortfall", "After a loss", "Share in their aim by half second, all vhosts, from the moment of the loss on.", png}, err
 }
 
 // curveChart is the miss-ratio curve of each zone, and the memory it has.
@@ -226,8 +228,8 @@
 	}
 	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Y.Min, p.Y.Max = 0, 100
-	svg, err := render(p, 16*vg.Centimeter, 8*vg.Centimeter)
-	return &Chart{"misses", "What memory would miss", "The dot is the memory that the zone's caches hold different things in.", svg}, err
+	png, err := render(p, 16*vg.Centimeter, 8*vg.Centimeter)
+	return &Chart{"misses", "What memory would miss", "The dot is the memory that the zone's caches hold different things in.", png}, err
 }
 
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
@@ -239,7 +241,7 @@
 <style>
 body{font:15px/1.5 sans-serif;max-width:50em;margin:2em auto;padding:0 1em;color:#222}
 table{border-collapse:collapse;margin:1em 0}th,td{padding:.25em .8em;border-bottom:1px solid #ccc;text-align:left}
-svg{max-width:100%;height:auto}.not{color:#b83a2c;font-weight:bold}figure{margin:1.5em 0}figcaption{color:#555}
+img{width:42em;max-width:100%}.not{color:#b83a2c;font-weight:bold}figure{margin:1.5em 0}figcaption{color:#555}
 </style></head><body>
 <h1>Plan of {{.Answer.Fleet}}</h1>
 <p>{{.Answer.Reqs}} reqs over {{whole .Answer.Span}} s, {{times .Answer.Rate}} a second; burstiness {{times .Answer.Burst}}. Goal: <b>{{.Answer.Goal}}</b>.</p>
@@ -247,7 +249,7 @@
 {{if .Answer.Causes}}<table><tr><th></th><th>what breaks</th><th>of</th><th>used there</th><th>at times the load</th><th>between</th></tr>
 {{range $i, $c := .Answer.Causes}}<tr><td>{{if $i}}then{{else}}first{{end}}</td><td>{{.Limit.Name}}</td><td>{{.Limit.What}}</td><td>{{percent .Limit.Used}}</td><td>{{times .Break.Factor}}</td><td>{{times .Break.Low}} and {{times .Break.High}}</td></tr>
 {{end}}</table>{{end}}
-{{range .Charts}}<figure><h2>{{.Title}}</h2>{{.SVG}}<figcaption>{{.Says}}</figcaption></figure>
+{{range .Charts}}<figure><h2>{{.Title}}</h2><img src="{{.PNG}}" alt="{{.Says}}"><figcaption>{{.Says}}</figcaption></figure>
 {{end}}
 {{range .Answer.Losses}}<h2>{{.What}}</h2><p>At {{times .Factor}} times the load: {{percent .Share}} in their aim, least half second {{percent .Depth}}, short for {{times .Length}} s, fills {{times .Extra}} times the usual, {{.Falls}} machines fell over.
 {{if .Jam}}<span class="not">A jam that feeds itself: with the clients' retries it does not end.</span>{{end}}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -304,17 +304,33 @@
 		i.done <- d.Run(ctx, make(chan os.Signal), func() (*config.Config, error) { return conf, nil })
 	}()
 	s.all = append(s.all, i)
-	for until := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		nc, err := net.Dial("tcp", i.addr.String())
+	return Listens(i.addr, 5*time.Second)
+}
+
+// Listens waits until somebody listens at an address.
+func Listens(addr netip.AddrPort, within time.Duration) error {
+	for until := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
+		nc, err := net.Dial("tcp", addr.String())
 		if err == nil {
 			return nc.Close()
 		}
 		if time.Now().After(until) {
-			return fmt.Errorf("standin: director %d does not listen: %w", me, err)
+			return fmt.Errorf("standin: nobody listens at %v: %w", addr, err)
 		}
 	}
 }
 
+// External finds an address for a director of a zone that another process runs; clients come to it from now on, until
+// leave is called.
+func (s *Fleet) External(zone int) (addr netip.AddrPort, leave func(), err error) {
+	if addr, err = freePort(); err != nil {
+		return addr, nil, err
+	}
+	i := &instance{zone: zone, addr: addr, cancel: func() {}, done: make(chan error, 1)}
+	s.all = append(s.all, i)
+	return addr, func() { i.done <- nil }, nil
+}
+
 // Director is where one of a zone's directors listens, the i-th round; false where the zone has none.
 func (s *Fleet) Director(zone, i int) (netip.AddrPort, bool) {
 	var here []netip.AddrPort
