Directors' cores and cold starts among what breaks

A director whose core is full was only in the table of limits, and a cold return whose machines warm up too slowly was put down to the cores of the rest. Tests: 20 ms of core time a req at two directors break first, by the reckoning; half back cold names the cold start.

--- a/cmd/indigochute/print.go
+++ b/cmd/indigochute/print.go
@@ -87,4 +87,7 @@
 	default:
 		fmt.Fprintf(out, "  under it the goal breaks at %s times the load (between %s and %s)\n", times(b.Factor), times(b.Low), times(b.High))
 	}
+	if h.Cause != nil {
+		fmt.Fprintf(out, "  what breaks it there: %s, %s\n", h.Cause.Limit.Name, h.Cause.Limit.What)
+	}
 }
--- a/plan/answer.go
+++ b/plan/answer.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -44,10 +45,11 @@
 		return nil, err
 	}
 	a.Limits = Bounds(p.Fleet, p.Demand, a.First.Factor)
-	a.Limits = a.Limits[:min(limitsTold, len(a.Limits))]
 	if a.Causes, err = p.Causes(a.First, Blow{}, causesTold); err != nil {
 		return nil, err
 	}
+	a.directors()
+	a.Limits = a.Limits[:min(limitsTold, len(a.Limits))]
 	if a.Met = !a.First.Never && (a.First.Held || a.First.Factor >= a.Wanted); !a.Met {
 		a.Why = fmt.Sprintf("the goal breaks at %.3g times the captured load and is wanted at %.3g times", a.First.Factor, a.Wanted)
 		if len(a.Causes) > 0 {
@@ -81,3 +83,29 @@
 	}
 	return lines
 }
+
+// directors puts directors whose cores are full among what breaks. Plays do not see them, as there they decide in no
+// time: the load at which a core is all used is the most that it could ever carry.
+func (a *Answer) directors() {
+	for _, l := range a.Limits {
+		if l.What != "director" || !a.First.Never && !a.First.Held && l.Factor >= a.lastBreak() {
+			continue
+		}
+		b := &Break{Factor: l.Factor, Rate: a.Rate * l.Factor, Low: l.Low, High: l.High, Points: a.First.Points, Uses: a.First.Uses,
+			Results: a.First.Results, Why: "reckoned from core time that reqs cost when captured"}
+		a.Causes = append(a.Causes, Cause{Use{Name: l.Name, What: l.What, Used: 1}, b})
+		if l.Factor < a.First.Factor || a.First.Held && !a.First.Never {
+			a.First = b
+		}
+	}
+	slices.SortStableFunc(a.Causes, func(x, y Cause) int { return cmp.Compare(x.Break.Factor, y.Break.Factor) })
+	a.Causes = a.Causes[:min(causesTold, len(a.Causes))]
+}
+
+// lastBreak is the load at which the last known cause breaks the goal.
+func (a *Answer) lastBreak() float64 {
+	if len(a.Causes) == 0 {
+		return a.First.Factor
+	}
+	return a.Causes[len(a.Causes)-1].Break.Factor
+}
--- a/plan/loss.go
+++ b/plan/loss.go
@@ -24,7 +24,8 @@
 	Extra    float64   `json:"extra_fills"` // times the fills without the loss
 	Jam      bool      `json:"jam"`         // retries keep the shortfall from ending: without them it ends
 	Falls    int       `json:"falls"`
-	Over     []float64 `json:"over_time"` // share by half second
+	Cause    *Cause    `json:"cause,omitempty"` // what breaks the goal under the loss
+	Over     []float64 `json:"over_time"`       // share by half second
 	result   *Result
 }
 
@@ -115,6 +116,13 @@
 	if h.Break, err = deep.Break(p.Fleet, b); err != nil {
 		return nil, err
 	}
+	causes, err := deep.Causes(h.Break, b, 1)
+	if err != nil {
+		return nil, err
+	}
+	if len(causes) > 0 {
+		h.Cause = &causes[0]
+	}
 	return h, nil
 }
 
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -375,6 +375,43 @@
 	}
 }
 
+// Directors whose cores are full before anything else break the goal first, by what reqs cost when captured.
+func TestDirectorsCores(t *testing.T) {
+	f := testFleet(t)
+	d := made(f, 60, 60*time.Second, 300, 1)
+	d.CPU = 20 * time.Millisecond // 30 reqs a second at each of two directors: 0.6 of a core
+	a, err := planner(t, f, d, "all 95% in its aim", 1).Answer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Causes[0].Limit.What != "director" || math.Abs(a.First.Factor-1/0.6) > 0.2 || a.Causes[1].Limit.What == "director" && len(a.Causes) < 3 {
+		t.Errorf("%+v", a.Causes)
+	}
+	d.CPU = time.Microsecond
+	if a, _ = planner(t, f, d, "all 95% in its aim", 1).Answer(); a.Causes[0].Limit.What == "director" {
+		t.Errorf("%+v", a.Causes[0])
+	}
+}
+
+// A cold return is named as the cause where warm machines would keep the goal.
+func TestColdStartIsNamed(t *testing.T) {
+	f := testFleet(t)
+	f.Cold.Floor, f.Cold.Ramp = 0.05, fleet.Span(12*time.Second)
+	d := made(f, 60, 90*time.Second, 300, 2)
+	p := planner(t, f, d, "all 95% in its aim also while half returns cold", 1)
+	h, err := p.Loss(p.Goal.Also[0], 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := p.Break(f, Blow{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.Cause == nil || h.Cause.Limit.What != coldStart || h.Break.Factor >= whole.Factor {
+		t.Errorf("%+v, breaks at %g, whole at %g", h.Cause, h.Break.Factor, whole.Factor)
+	}
+}
+
 func TestShortCaptures(t *testing.T) {
 	f := testFleet(t)
 	d := made(f, 60, 10*time.Second, 100, 1)
--- a/plan/search.go
+++ b/plan/search.go
@@ -348,7 +348,11 @@
 		best, cause := (*Break)(nil), Use{}
 		var relieved *fleet.Fleet
 		tried := map[string]bool{}
-		for _, u := range br.Uses {
+		uses := br.Uses
+		if len(blow.Cold) > 0 && f.Cold.Ramp > 0 {
+			uses = append([]Use{{Name: "machines that return", What: coldStart, Used: 1, use: model.Use{What: coldStart}}}, uses...)
+		}
+		for _, u := range uses {
 			group := fmt.Sprint(u.What, u.use.Kind, u.use.Zone, u.use.ID>>30)
 			if u.Used < suspected || tried[group] || len(tried) >= suspects {
 				continue
@@ -405,6 +409,8 @@
 func Relieve(f *fleet.Fleet, u model.Use, times float64) *fleet.Fleet {
 	g := f.Clone()
 	switch {
+	case u.What == coldStart:
+		g.Cold.Floor, g.Cold.Ramp = 1, 0
 	case u.What == "cores":
 		k := &g.Kinds[u.Kind]
 		k.Cores = int(math.Ceil(float64(k.Cores) * times))
@@ -421,4 +427,7 @@
 	return g
 }
 
+// coldStart is what a cold return is short of: the capacity and the budget of machines that warm up.
+const coldStart = "cold start"
+
 const originID = 0x7fffffff
