--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -518,3 +518,41 @@
 		})
 	}
 }
+
+// Of a fleet of many zones those that break first are played, with what the rest takes of the origin taken off: the
+// break is that of the whole fleet, played whole.
+func TestFocusFindsTheSameBreak(t *testing.T) {
+	f := testFleet(t)
+	f.Zones, f.Kinds[0].Number = nil, map[string]int{}
+	for i := range 10 {
+		name := "z" + string(rune('a'+i))
+		f.Zones = append(f.Zones, fleet.Zone{Name: name, Link: 1e6, Hub: i % 3, Directors: 1})
+		f.Kinds[0].Number[name] = 3
+	}
+	f.Kinds[0].Number["zd"] = 2
+	f.Parents[0].Zone = "za"
+	d := made(f, 350, 60*time.Second, 300, 4)
+	p := planner(t, f, d, "all 95% in its aim", 1)
+	g, part, others := p.focus(f, Blow{})
+	zones := map[int]bool{}
+	for i := range part.Reqs {
+		zones[int(part.Reqs[i].Zone)] = true
+	}
+	if len(zones) != focusZones || !zones[3] || g.Kinds[0].Number["zd"] != 2 || len(others) != len(g.Machines()) {
+		t.Fatalf("played: %v", zones)
+	}
+	br, err := p.Break(f, Blow{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := func(x float64) float64 { // of the same zones, in the whole fleet
+		r, err := Play(f, d, Setup{Factor: x, Seed: 1, Warm: 2 * time.Second, Span: 6 * time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Share(-1)
+	}
+	if low, high := at(br.Factor*0.85), at(br.Factor*1.5); low < 0.95 || high >= 0.95 {
+		t.Errorf("breaks at %g; the whole fleet has %.3f in their aim at 0.85 of it and %.3f at 1.5", br.Factor, low, high)
+	}
+}
--- a/plan/search.go
+++ b/plan/search.go
@@ -366,6 +366,9 @@
 			if best == nil || b.Factor > best.Factor {
 				best, cause, relieved = b, u, g
 			}
+			if u.What == coldStart && b.Factor >= br.Factor*telling { // warm, they would carry it as they are
+				break
+			}
 		}
 		if best == nil || best.Factor < br.Factor*telling {
 			break
