The break is fitted by a line as wide as the counted reqs ask for; a mixed fleet as example

The crossing of levelled shares followed single plays. It is the crossing of a line now, over a stretch that widens until its standard deviation is small, with more plays where it is not.

--- a/plan/search.go
+++ b/plan/search.go
@@ -88,6 +88,10 @@
 	playMost   = 15_000          // reqs of a play, from which on it is played for a shorter time,
 	leastPlay  = 4 * time.Second // but for no less than this
 	coarse     = 8               // factors tried at once
+	narrow     = 0.08            // stretches round a crossing that are looked at,
+	wide       = 0.3             // as a share of it
+	sure       = 0.02            // standard deviation of a crossing that will do, as a share of it
+	clumped    = 2.0             // times the variance of single reqs by chance: late ones come together
 	finer      = 5               // factors tried within a bracket
 	mostRounds = 5               // of going up or down
 	apart      = 1.25            // ratio between factors when going up or down
@@ -154,23 +158,40 @@
 		br.Held, br.Factor, br.Rate = true, last.Factor, last.Rate
 		return br, p.finish(br)
 	}
-	for round := range 2 { // closer, at last with all seeds
-		low, high := p.bracket(br.Points)
+	// Closer: within the bracket, then round the crossing, at last, where the share falls so slowly that chance moves
+	// the crossing far, over a wider stretch with more plays.
+	for round, half := range []float64{0, narrow, wide, wide} {
+		at, off := Fit(br.Points, p.Goal.share)
+		if round >= 2 && off < sure*at {
+			break
+		}
+		low, high := at/(1+half), at*(1+half)
+		if half == 0 {
+			low, high = p.bracket(br.Points)
+		}
 		var mid []float64
 		for i := 1; i <= finer; i++ {
-			mid = append(mid, low*math.Pow(high/low, float64(i)/(finer+1)))
+			mid = append(mid, low*math.Pow(high/low, (float64(i)-0.07*float64(round))/(finer+1)))
 		}
 		seeds := p.Seeds
 		if round == 0 || p.Demand.Rate(-1)*br.Points[0].Factor*leastPlay.Seconds() > playMost/2 { // one counts enough
 			seeds = seeds[:1]
 		}
+		if round >= 2 && len(seeds) == 1 {
+			seeds = []uint64{seeds[0] + 1000*uint64(round), seeds[0] + 1001*uint64(round)}
+		}
 		if err := p.try(f, blow, br, mid, seeds); err != nil {
+			var short Short
+			if errors.As(err, &short) {
+				break
+			}
 			return nil, err
 		}
 	}
-	br.Factor = Crossing(br.Points, p.Goal.share)
+	var off float64
+	br.Factor, off = Fit(br.Points, p.Goal.share)
 	br.Rate = p.Demand.Rate(-1) * br.Factor
-	br.Low, br.High = p.unsure(br)
+	br.Low, br.High = max(br.Factor/2, br.Factor-2*off), br.Factor+2*off
 	if err := p.finish(br); err != nil {
 		return nil, err
 	}
@@ -293,18 +314,46 @@
 	return points[len(points)-1].Factor
 }
 
-// unsure is how far the crossing may lie off, as far as the number of reqs counted tells.
-func (p *Planner) unsure(br *Break) (low, high float64) {
-	asked := 0
-	for _, x := range br.Points {
-		if math.Abs(x.Factor/br.Factor-1) < 0.1 {
-			asked += x.Asked
+// Fit is where the share falls through what is wanted, by a line through the points round the crossing, and the
+// standard deviation of that. The stretch is as narrow as the number of reqs allows: a share that falls steeply is told
+// by few points, and is no line over many; one that falls slowly needs many, and is one.
+func Fit(points []Point, want float64) (at, off float64) {
+	at, off = Crossing(points, want), math.Inf(1)
+	for center, half := at, narrow/2; half <= wide*1.01; half *= 1.5 {
+		var w, wx, wy, wxx, wxy, n float64
+		for _, x := range points {
+			if x.Factor < center/(1+half) || x.Factor > center*(1+half) {
+				continue
+			}
+			k := float64(x.Asked)
+			w, wx, wy, n = w+k, wx+k*x.Factor, wy+k*x.Share, n+1
+			wxx, wxy = wxx+k*x.Factor*x.Factor, wxy+k*x.Factor*x.Share
 		}
+		if n < 4 {
+			continue
+		}
+		mx, my := wx/w, wy/w
+		sxx, sxy := wxx-w*mx*mx, wxy-w*mx*my
+		if sxx <= 0 || sxy >= 0 {
+			continue
+		}
+		slope := sxy / sxx
+		x := mx + (want-my)/slope
+		if x < center/(1+half) || x > center*(1+half) {
+			continue
+		}
+		vary := clumped * max(want*(1-want), 1e-4) * (1/w + (x-mx)*(x-mx)/sxx)
+		if sd := math.Sqrt(vary) / -slope; sd < off {
+			at, off = x, sd
+		}
+		if off < sure*at/2 {
+			break
+		}
+	}
+	if math.IsInf(off, 1) {
+		off = at * wide
 	}
-	want := p.Goal.share
-	off := 2 * math.Sqrt(max(want*(1-want), 1e-4)/float64(max(1, asked)))
-	low, high = Crossing(br.Points, min(1-1e-6, want+off)), Crossing(br.Points, want-off)
-	return min(low, br.Factor), max(high, br.Factor)
+	return at, off
 }
 
 // finish tells how full limits were in the plays next to the break.
