--- /dev/null
+++ b/duty/duty_test.go
@@ -0,0 +1,307 @@
+package duty
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// sim is instances with clocks of their own, and a network that delays, loses, doubles and cuts off.
+type sim struct {
+	chance *rand.Rand
+	names  []string
+	real   time.Duration
+	nodes  map[string]*simNode
+	wire   []letter
+	cut    map[string]int // side of a partition
+	oneWay [2]string      // messages from the first to the second are lost
+	loss   float64
+	drift  float64 // of clocks
+	told   float64 // drift that instances reckon with
+	duties []Duty
+	owner  map[string]string // last owner of each duty
+	fence  map[string]uint64
+	runs   map[string]time.Duration // real time of the last run
+	wrong  []string
+}
+
+type simNode struct {
+	n      *Node
+	rate   float64
+	offset time.Duration
+	paused time.Duration // real time until
+	dead   time.Duration
+	mail   []Message
+}
+
+type letter struct {
+	at time.Duration
+	m  Message
+}
+
+const step = 20 * time.Millisecond
+
+func newSim(seed uint64, count int, drift, told float64, duties int) *sim {
+	s := &sim{chance: rand.New(rand.NewPCG(seed, 7)), nodes: map[string]*simNode{}, cut: map[string]int{}, drift: drift, told: told,
+		owner: map[string]string{}, fence: map[string]uint64{}, runs: map[string]time.Duration{}}
+	for i := range count {
+		s.names = append(s.names, fmt.Sprintf("n%d", i))
+	}
+	for i := range duties {
+		s.duties = append(s.duties, Duty{Name: fmt.Sprintf("d%d", i), Period: 700 * time.Millisecond, Timeout: 300 * time.Millisecond, CatchUp: i%2 == 0})
+	}
+	for _, name := range s.names {
+		s.start(name)
+	}
+	return s
+}
+
+func (s *sim) start(name string) {
+	x := &simNode{rate: 1 + s.drift*(2*s.chance.Float64()-1), offset: time.Duration(s.chance.IntN(1e9))}
+	s.nodes[name] = x
+	x.n = New(Config{Me: name, All: s.names, Lease: 1200 * time.Millisecond, Beat: 250 * time.Millisecond, Drift: s.told, Duties: s.duties,
+		Seed: s.chance.Uint64(), Born: 1e6 + uint64(s.real.Milliseconds()) + uint64(s.chance.IntN(500))}, x.clock(s.real))
+}
+
+func (x *simNode) clock(real time.Duration) time.Duration {
+	return x.offset + time.Duration(float64(real)*x.rate)
+}
+
+func (s *sim) send(list []Message) {
+	for _, m := range list {
+		if s.cut[m.From] != s.cut[m.To] || s.oneWay == [2]string{m.From, m.To} || s.chance.Float64() < s.loss {
+			continue
+		}
+		for range 1 + s.chance.IntN(10)/9 { // one in ten twice
+			s.wire = append(s.wire, letter{s.real + time.Duration(s.chance.IntN(150))*time.Millisecond, m})
+		}
+	}
+}
+
+// go_ lets one step pass and checks the rules.
+func (s *sim) go_() {
+	s.real += step
+	var later []letter
+	for _, l := range s.wire {
+		if l.at > s.real {
+			later = append(later, l)
+		} else if x := s.nodes[l.m.To]; x.dead <= s.real {
+			x.mail = append(x.mail, l.m)
+		}
+	}
+	s.wire = later
+	for _, name := range s.names {
+		x := s.nodes[name]
+		if x.dead > s.real || x.paused > s.real {
+			continue
+		}
+		now := x.clock(s.real)
+		for _, m := range x.mail {
+			s.send(x.n.Receive(now, m))
+		}
+		x.mail = nil
+		s.send(x.n.Tick(now))
+		for _, o := range x.n.Due(now) {
+			s.runs[o.Duty] = s.real
+			x.n.Ended(o.Duty, o.Fence)
+		}
+	}
+	s.check()
+}
+
+// check: no duty is held twice, and each change of owner raises its fencing number.
+func (s *sim) check() {
+	for _, d := range s.duties {
+		held := ""
+		for _, name := range s.names {
+			x := s.nodes[name]
+			if x.dead > s.real {
+				continue
+			}
+			fence, ok := x.n.Holds(x.clock(s.real), d.Name)
+			if !ok {
+				continue
+			}
+			if held != "" {
+				s.wrong = append(s.wrong, fmt.Sprintf("%v: %s is held by %s and %s", s.real, d.Name, held, name))
+			}
+			held = name
+			if s.owner[d.Name] != name && fence <= s.fence[d.Name] || fence < s.fence[d.Name] {
+				s.wrong = append(s.wrong, fmt.Sprintf("%v: %s went to %s under %d after %d", s.real, d.Name, name, fence, s.fence[d.Name]))
+			}
+			s.owner[d.Name], s.fence[d.Name] = name, fence
+		}
+	}
+}
+
+// trouble lets something befall the instances by chance.
+func (s *sim) trouble() {
+	name := s.names[s.chance.IntN(len(s.names))]
+	x := s.nodes[name]
+	switch s.chance.IntN(9) {
+	case 0:
+		for _, n := range s.names {
+			s.cut[n] = s.chance.IntN(2)
+		}
+	case 1:
+		clear(s.cut)
+		s.oneWay, s.loss = [2]string{}, 0
+	case 2:
+		s.oneWay = [2]string{name, s.names[s.chance.IntN(len(s.names))]}
+	case 3:
+		s.loss = 0.3 * s.chance.Float64()
+	case 4, 5:
+		x.paused = s.real + time.Duration(s.chance.IntN(4000))*time.Millisecond
+	case 6: // killed; back later with nothing
+		s.start(name)
+		s.nodes[name].dead = s.real + time.Duration(s.chance.IntN(3000))*time.Millisecond
+	case 7: // restarted at once
+		s.start(name)
+	case 8:
+		if x.dead <= s.real {
+			x.n.Leave()
+		}
+	}
+}
+
+// heal ends all trouble, and lets instances that left start again.
+func (s *sim) heal() {
+	clear(s.cut)
+	s.oneWay, s.loss = [2]string{}, 0
+	for _, name := range s.names {
+		x := s.nodes[name]
+		x.paused, x.dead = 0, 0
+		if x.n.leaving {
+			s.start(name)
+		}
+	}
+}
+
+// Thousands of schedules of loss, delay, doubling, cuts, pauses, kills and restarts, with clocks as far apart as is
+// stated: no duty is held twice, fencing numbers rise, and after it all each duty runs again.
+func TestNoDutyTwiceAndNoneForgotten(t *testing.T) {
+	schedules := 400
+	if testing.Short() {
+		schedules = 60
+	}
+	for seed := range uint64(schedules) {
+		s := newSim(seed, 3+2*int(seed%2), 0.1, 0.1, 5)
+		for range 600 {
+			if s.chance.IntN(25) == 0 {
+				s.trouble()
+			}
+			s.go_()
+		}
+		s.heal()
+		healed := s.real
+		for range 450 {
+			s.go_()
+		}
+		if len(s.wrong) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(s.wrong[:min(3, len(s.wrong))], "\n"))
+		}
+		for _, d := range s.duties {
+			if s.runs[d.Name] < healed || s.real-s.runs[d.Name] > 2*d.Period+time.Second {
+				t.Fatalf("seed %d: %s ran at %v last, of %v; healed at %v", seed, d.Name, s.runs[d.Name], s.real, healed)
+			}
+		}
+	}
+}
+
+// The check sees what it is for: instances that reckon with no drift, where there is one, hold duties twice.
+func TestTheMarginIsNeeded(t *testing.T) {
+	broken := 0
+	for seed := range uint64(120) {
+		s := newSim(seed, 3, 0.3, 0, 5)
+		for range 600 {
+			if s.chance.IntN(25) == 0 {
+				s.trouble()
+			}
+			s.go_()
+		}
+		if slices.ContainsFunc(s.wrong, func(w string) bool { return strings.Contains(w, "is held by") }) {
+			broken++
+		}
+	}
+	if broken == 0 {
+		t.Error("clocks that differ by more than is reckoned with broke nothing in 120 schedules")
+	}
+}
+
+// One of three dies: its duties run elsewhere within three seconds. Two die: duties stop rather than double.
+func TestTakeover(t *testing.T) {
+	s := newSim(1, 3, 0.02, 0.02, 12)
+	for range 400 {
+		s.go_()
+	}
+	owners := map[string]int{}
+	for _, d := range s.duties {
+		owners[s.owner[d.Name]]++
+	}
+	if len(owners) != 3 || owners["n0"] > 5 || owners["n1"] > 5 || owners["n2"] > 5 {
+		t.Errorf("shares: %v", owners)
+	}
+	dead := s.real
+	s.nodes["n0"].dead = time.Hour
+	for range int(3 * time.Second / step) {
+		s.go_()
+	}
+	for _, d := range s.duties {
+		if s.runs[d.Name] <= dead || s.owner[d.Name] == "n0" {
+			t.Errorf("%s ran last at %v at %s, n0 died at %v", d.Name, s.runs[d.Name], s.owner[d.Name], dead)
+		}
+	}
+	s.nodes["n1"].dead = time.Hour
+	for range 200 {
+		s.go_()
+	}
+	before := s.real
+	for range 200 {
+		s.go_()
+	}
+	for _, d := range s.duties {
+		if s.runs[d.Name] > before {
+			t.Errorf("%s ran with one of three alive", d.Name)
+		}
+	}
+	if len(s.wrong) > 0 {
+		t.Error(s.wrong)
+	}
+}
+
+func TestAloneOwnsAll(t *testing.T) {
+	s := newSim(1, 1, 0, 0, 4)
+	for range 100 {
+		s.go_()
+	}
+	for _, d := range s.duties {
+		if s.owner[d.Name] != "n0" || s.runs[d.Name] == 0 {
+			t.Errorf("%s: owner %q, ran %v", d.Name, s.owner[d.Name], s.runs[d.Name])
+		}
+	}
+}
+
+func TestConfigs(t *testing.T) {
+	good := Config{Me: "a", All: []string{"a", "b", "c"}, Lease: time.Second, Beat: 200 * time.Millisecond,
+		Duties: []Duty{{Name: "x", Period: time.Second, Timeout: time.Second}}}
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+	for says, bad := range map[string]func(c *Config){
+		"not among":      func(c *Config) { c.Me = "z" },
+		"two instances":  func(c *Config) { c.All = []string{"a", "b", "b"} },
+		"two duties":     func(c *Config) { c.Duties = append(c.Duties, c.Duties[0]) },
+		"under its time": func(c *Config) { c.Duties = []Duty{{Name: "x", Period: time.Second, Timeout: 2 * time.Second}} },
+		"renewed each":   func(c *Config) { c.Beat = time.Second },
+		"a drift of":     func(c *Config) { c.Drift = 0.9 },
+	} {
+		c := good
+		bad(&c)
+		if err := c.Check(); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%s: %v", says, err)
+		}
+	}
+}
