Machines' ids never collide; one hash, one figure for a write's answer; dead code out

Ids are drawn by 22 bits of a hash: of some thousand caches in a zone two could share one, and directors would take them for one machine. The later takes the next free id now; a test with 16,000 in a zone. fleet and plan used copies of control's hash, plan one of model's figure for writes; a map that nobody read and unused methods are gone.

--- a/control/chance.go
+++ b/control/chance.go
@@ -21,6 +21,9 @@
 	return x ^ x>>29
 }
 
+// Hash is the one that all directors share, for whatever must draw as they do.
+func Hash(words ...uint64) uint64 { return hash(words...) }
+
 // chance is this instance's own: no two calls draw the same.
 func (d *Director) chance(id uint32) uint64 {
 	d.counter++
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,12 +4,12 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"indigochute.example/indigochute/control"
 )
 
 // Fleet is one description.
@@ -161,14 +161,20 @@
 	Zone int
 }
 
-// Machines lists all machines: caches by kind, zone and count, parents, the origin last. Ids count from 1 in that
-// order, so that those of one zone stay when another grows: they hold zone, kind and count.
+// Machines lists all machines: caches by kind, zone and count, parents, the origin last. Ids are drawn from
+// kind, zone and count, so that those of one zone stay when another grows, and no two are alike.
 func (f *Fleet) Machines() (all []Machine) {
 	zones := f.zones()
+	taken := map[uint32]bool{}
 	for k, kind := range f.Kinds {
 		for z, zone := range f.Zones {
 			for i := range kind.Number[zone.Name] {
-				all = append(all, Machine{ID: cacheID(k, z, i), Name: name(kind.Name, zone.Name, i), Role: Cache, Kind: k, Zone: z})
+				id := cacheID(k, z, i)
+				for taken[id] { // two of thousands may draw one id: the later takes the next
+					id = (id + 1<<8) & 0x3fffffff
+				}
+				taken[id] = true
+				all = append(all, Machine{ID: id, Name: name(kind.Name, zone.Name, i), Role: Cache, Kind: k, Zone: z})
 			}
 		}
 	}
@@ -182,7 +188,7 @@
 }
 
 func cacheID(kind, zone, i int) uint32 {
-	return uint32(spread(uint64(kind), uint64(zone), uint64(i))&0x3fffff)<<8 | uint32(zone)
+	return uint32(control.Hash(uint64(kind), uint64(zone), uint64(i))&0x3fffff)<<8 | uint32(zone)
 }
 
 func name(kind, zone string, i int) string {
@@ -207,7 +213,7 @@
 
 // SizeOf is the bytes of a part of an object, the same at every call.
 func (v *Vhost) SizeOf(obj uint64, part uint32) int {
-	u := float64(spread(obj, uint64(part), 0x517e)>>11) / (1 << 53)
+	u := float64(control.Hash(obj, uint64(part), 0x517e)>>11) / (1 << 53)
 	least, most := float64(v.Sizes.Least), float64(v.Sizes.Most)
 	return int(least * math.Pow(most/least, u))
 }
@@ -219,19 +225,6 @@
 	return min(v.Timeout.D(), v.Aim.D()+time.Duration(v.Stretch*sending))
 }
 
-func spread(words ...uint64) uint64 {
-	h := fnv.New64a()
-	var b [8]byte
-	for _, w := range words {
-		binary.LittleEndian.PutUint64(b[:], w)
-		h.Write(b[:])
-	}
-	x := h.Sum64()
-	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	return x ^ x>>29
-}
-
 // Serving is the zone whose directors the clients of a zone come to: its own, else the next in the file that has any.
 // -1: nobody serves them.
 func (f *Fleet) Serving(zone int, lost func(zone int) bool) int {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -181,3 +181,16 @@
 		}
 	}
 }
+
+// No two machines share an id, however many there are: directors would take them for one.
+func TestIDsDiffer(t *testing.T) {
+	f, _ := Parse("small.yaml", example(t))
+	f.Kinds[0].Number["west"] = 16000
+	seen := map[uint32]string{}
+	for _, m := range f.Machines() {
+		if other, twice := seen[m.ID]; twice {
+			t.Fatalf("%s and %s are both %x", other, m.Name, m.ID)
+		}
+		seen[m.ID] = m.Name
+	}
+}
--- a/model/world.go
+++ b/model/world.go
@@ -157,10 +157,12 @@
 	return last
 }
 
+// WriteBytes are what the answer to a write takes of a link.
+const WriteBytes = 200
+
 const (
 	coldSteps = 40 // of a ramp, in which capacity grows
 	askedEach = 10 // buckets of a window
-	written   = 200
 )
 
 // New makes the machines of a fleet, all up and warm.
@@ -450,7 +452,7 @@
 		f.direct = true
 		bytes := float64(f.ask.Bytes)
 		if v.Write {
-			bytes = written
+			bytes = WriteBytes
 		}
 		w.at(w.now+w.f.Origin.Latency.D(), func() {
 			born := w.now
--- a/plan/bounds.go
+++ b/plan/bounds.go
@@ -8,6 +8,7 @@
 
 	"indigochute.example/indigochute/control"
 	"indigochute.example/indigochute/fleet"
+	"indigochute.example/indigochute/model"
 )
 
 // Limit is one thing that more load may fill.
@@ -241,8 +242,8 @@
 		v := &f.Vhosts[r.Vhost]
 		z, t := f.Serving(int(r.Zone), nil), b.block(r)
 		if v.Write {
-			zone[z][t] += writeBytes
-			origin.bytes[t] += writeBytes
+			zone[z][t] += model.WriteBytes
+			origin.bytes[t] += model.WriteBytes
 			origin.fetch[t] += f.Origin.Latency.Seconds()
 			continue
 		}
@@ -292,8 +293,6 @@
 	}
 }
 
-const writeBytes = 200 // that a write's answer takes of a link
-
 // directors tells how much of their cores directors take, where the capture says what a req cost.
 func (b *bounds) directors() {
 	if b.d.CPU == 0 {
--- a/plan/curve.go
+++ b/plan/curve.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+
+	"indigochute.example/indigochute/control"
 )
 
 // Curve is a miss-ratio curve: what share of reads a memory of any size would miss if it kept what was used last. It
@@ -51,7 +53,7 @@
 func (c *Curve) Read(obj uint64, part uint32, bytes float64) (distance float64, followed bool) {
 	c.reads += bytes
 	c.count++
-	if mix(obj, uint64(part)) > c.bound {
+	if control.Hash(obj, uint64(part)) > c.bound {
 		return 0, false
 	}
 	c.seen += bytes
--- a/plan/heap.go
+++ b/plan/heap.go
@@ -1,10 +1,5 @@
 package plan
 
-import (
-	"encoding/binary"
-	"hash/fnv"
-)
-
 // heap is a binary heap that boxes nothing: a play pushes several timers for each req.
 type heap[T interface{ before(T) bool }] struct{ list []T }
 
@@ -46,20 +41,3 @@
 		i = least
 	}
 }
-
-// mix is a hash of its words.
-func mix(words ...uint64) uint64 {
-	h := fnv.New64a()
-	var b [8]byte
-	for _, w := range words {
-		binary.LittleEndian.PutUint64(b[:], w)
-		h.Write(b[:])
-	}
-	x := h.Sum64()
-	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	return x ^ x>>29
-}
-
-// unit turns a hash into a number from 0 to below 1.
-func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
--- a/plan/loss.go
+++ b/plan/loss.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"indigochute.example/indigochute/control"
 	"indigochute.example/indigochute/fleet"
 )
 
@@ -199,7 +200,7 @@
 		}
 		for n := range sampled {
 			for i := range count { // the first count places of a shuffle
-				j := i + int(mix(p.Seeds[0], uint64(n), uint64(i))%uint64(len(order)-i))
+				j := i + int(control.Hash(p.Seeds[0], uint64(n), uint64(i))%uint64(len(order)-i))
 				order[i], order[j] = order[j], order[i]
 			}
 			look(order[:count])
--- a/plan/play.go
+++ b/plan/play.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &play{f: f, machines: f.Machines(), s: s, w: model.New(f), reqs: reqs, warm: warm, asks: map[uint64]*sent{}, seen: map[uint32]bool{},
+	p := &play{f: f, machines: f.Machines(), s: s, w: model.New(f), reqs: reqs, warm: warm, asks: map[uint64]*sent{},
 		r: &Result{Factor: s.Factor, Vhosts: make([]Tally, len(f.Vhosts)), Span: span}}
 	p.r.Rate = float64(len(reqs)) / (warm + span).Seconds()
 	for i, m := range f.Machines() {
@@ -223,8 +223,7 @@
 	zones    [][]*instance
 	all      []*instance
 	asks     map[uint64]*sent
-	seen     map[uint32]bool // machines that directors were told of as changed
-	lost     []bool          // zones
+	lost     []bool // zones
 	last     uint64
 	count    uint64
 	r        *Result
@@ -365,9 +364,6 @@
 
 // news tells all directors of machines that changed, once they can know.
 func (p *play) news(ids []uint32) {
-	for _, id := range ids {
-		p.seen[id] = true
-	}
 	p.later(p.f.News.D(), func() {
 		lists := map[int][]control.Listed{}
 		for _, i := range p.all {
@@ -445,7 +441,7 @@
 	}
 	p.count++
 	here := p.zones[z]
-	i := here[mix(p.s.Seed, uint64(q.At), q.Obj, p.count)%uint64(len(here))]
+	i := here[control.Hash(p.s.Seed, uint64(q.At), q.Obj, p.count)%uint64(len(here))]
 	i.last++
 	i.open[i.last] = &asked{q: q, retries: retries, owed: true}
 	v := p.f.Vhosts[q.Vhost]
--- a/standin/node.go
+++ b/standin/node.go
@@ -176,7 +176,7 @@
 	switch a.Word {
 	case model.Done:
 		r.Word, r.Born = resp.Hit, c.n.s.unix(a.Born)
-		r.Body = body(x, a, c.n.s.o.Sizes(x.vhost, x.obj, x.part), r.Born)
+		r.Body = body(x, c.n.s.o.Sizes(x.vhost, x.obj, x.part), r.Born)
 	case model.None:
 		r.Word = resp.None
 	case model.Full:
@@ -194,7 +194,7 @@
 const bodyHead = 20 // bytes that say what a body is
 
 // body is what a part of an object consists of: which it is and when the origin gave it out, then filling.
-func body(x *ask, _ model.Answer, size int, born int64) []byte {
+func body(x *ask, size int, born int64) []byte {
 	b := make([]byte, size)
 	if size >= bodyHead {
 		binary.BigEndian.PutUint64(b, x.obj)
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -140,7 +140,7 @@
 func TestCheckersSee(t *testing.T) {
 	s, f := start(t)
 	good := func(m *msgpack.Message) []byte {
-		b := body(&ask{obj: 7}, model.Answer{}, f.Vhosts[0].SizeOf(7, 0), time.Now().UnixMilli())
+		b := body(&ask{obj: 7}, f.Vhosts[0].SizeOf(7, 0), time.Now().UnixMilli())
 		return join(msgpack.Done(m.ID, b, false))
 	}
 	for _, c := range []struct {
@@ -181,7 +181,7 @@
 	s.rules.asked(id, 0, &resp.Command{Ask: resp.Ask{ID: "b"}}, 0)
 	s.rules.asked(1, id, &resp.Command{Ask: resp.Ask{ID: "c"}}, 0)
 	s.rules.purges[7] = time.Now().Add(-3 * time.Second)
-	s.rules.answered(0, 7, 0, body(&ask{obj: 7}, model.Answer{}, f.Vhosts[0].SizeOf(7, 0), time.Now().Add(-time.Hour).UnixMilli()))
+	s.rules.answered(0, 7, 0, body(&ask{obj: 7}, f.Vhosts[0].SizeOf(7, 0), time.Now().Add(-time.Hour).UnixMilli()))
 	said := strings.Join(s.Violations(), "\n")
 	for want, n := range map[string]int{"rule 2": 1, "rule 3": 2, "rule 5": 1} {
 		if strings.Count(said, want) != n {
