--- a/config/settings.go
+++ b/config/settings.go
@@ -40,8 +40,17 @@
 			Multiple: p.num("domain.parentBreaksAt"), Window: p.micros("rules.tipAfter")},
 		PurgeSettles: p.micros("domain.purgeSettles"),
 		Directors:    p.whole("instances"),
+		Joins:        p.truth("domain.canJoin"),
+		LinkKB:       p.item("domain.feedKbPerS", p.whole("zone")).num(""),
 	}
 	s.Here = p.item("domain.zoneBalancers", s.Zone).whole("")
+	switch kind := p.m["weightKind"]; kind {
+	case "nominal", "rough":
+		s.Sized = true
+	case "", "none", "live": // live weights change with each list: they tell load, not size
+	default:
+		p.fail("weightKind", "unknown %q", kind)
+	}
 	if p.m["domain.midKind"] != "" {
 		s.ParentKind = p.whole("domain.midKind")
 	}
--- a/control/chance.go
+++ b/control/chance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -33,9 +34,10 @@
 // unit turns a hash into a number above 0 and below 1.
 func unit(h uint64) float64 { return (float64(h>>12) + 0.5) / (1 << 52) }
 
-// byHash ranks machines for an object, alike at every director.
+// byHash ranks machines for an object, alike at every director, each first as often as its size has it.
 func byHash(obj uint64) func(a, b *node) int {
-	return func(a, b *node) int { return cmp.Compare(hash(obj, uint64(b.id)), hash(obj, uint64(a.id))) }
+	far := func(n *node) float64 { return -math.Log(unit(hash(obj, uint64(n.id)))) / n.size }
+	return func(a, b *node) int { return cmp.Compare(far(a), far(b)) }
 }
 
 // Homes ranks machines for an object as every director does: its home comes first.
--- a/control/control.go
+++ b/control/control.go
@@ -175,9 +175,9 @@
 // guard passes the pick if it is fit, else the next in the object's order. It acts when the pick is set
 // aside, on trial and full, cold and out of budget, crowded, or failed this req before.
 func (d *Director) guard(now time.Duration, r *req, pick *node, order []*node) *node {
-	mean, least := 0.0, math.Inf(1)
+	sum, size, least := 0.0, 0.0, math.Inf(1)
 	for _, c := range order {
-		mean += c.out / float64(len(order))
+		sum, size = sum+c.out, size+c.size
 		least = min(least, d.strain(c))
 	}
 	var second *node
@@ -189,12 +189,12 @@
 		if !fits(c.out, c.room.most*d.slack(r), hash(r.obj.id, uint64(r.partNo), uint64(c.id))) {
 			return false
 		}
-		bound := crowdTimes*mean + crowdPlus
+		bound := crowdTimes*sum/size*c.size + crowdPlus
 		if d.holds(now, r, c) {
 			bound += holderPlus
 		}
 		if c.out > bound || d.strain(c) > crowdStrain*least {
-			if second == nil || c.out < second.out {
+			if second == nil || c.out/c.size < second.out/second.size {
 				second = c
 			}
 			return false
@@ -737,8 +737,9 @@
 			if j == home || home.aside > now || j.aside > now {
 				continue
 			}
-			gap := home.load.Rate(now) - j.load.Rate(now)
-			noise := math.Sqrt(home.load.Sum(now)+j.load.Sum(now)) / home.load.Span().Seconds()
+			h, s, both := home.size, j.size, 2*home.size*j.size/(home.size+j.size) // L for the size of each
+			gap := (home.load.Rate(now)/h - j.load.Rate(now)/s) * both
+			noise := math.Sqrt(home.load.Sum(now)/h/h+j.load.Sum(now)/s/s) * both / home.load.Span().Seconds()
 			gap = alpha * math.Copysign(max(0, math.Abs(gap)-noiseTimes*noise), gap)
 			atHome, atJ := 0.0, 0.0
 			for _, o := range hot {
@@ -786,6 +787,9 @@
 			n = d.meet(l.Node)
 		}
 		n.zone, n.cell, n.ready = l.Zone, l.Cell, l.State == Ready
+		if d.set.sized && l.Size > 0 {
+			n.size = l.Size
+		}
 		switch {
 		case l.Kind == d.set.originKind:
 			n.role = origin
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -489,3 +489,32 @@
 	}
 	w.blame(!done, "reqs were never released")
 }
+
+// Where the list tells sizes, a cache is home to as much of the objects as its size is of all, and takes so much more of us
+// before it is crowded.
+func TestSizesOfTheListShareTheObjects(t *testing.T) {
+	set := settings0()
+	set.Sized = true
+	w := &world{rng: rand.New(rand.NewSource(1)), set: set, asks: map[uint32]*asked{}, list: map[uint32]Listed{}, manual: true}
+	w.d = Start(set, w)
+	w.tell(true, Listed{Node: 1, State: Ready, Kind: 2}, Listed{Node: 10, State: Ready, Zone: 1, Size: 2},
+		Listed{Node: 11, State: Ready, Zone: 1, Size: 6}, Listed{Node: 12, State: Ready, Zone: 1, Size: 4})
+	homes := map[uint32]float64{}
+	for obj := range uint64(3000) {
+		homes[w.d.order(w.d.object(obj+1, 0))[0].id]++
+	}
+	for id, want := range map[uint32]float64{10: 500, 11: 1500, 12: 1000} {
+		if math.Abs(homes[id]-want) > 0.15*want {
+			t.Errorf("%d is home to %v of 3000 objects, want about %v", id, homes[id], want)
+		}
+	}
+	big, small := w.d.nodes[11], w.d.nodes[10]
+	small.out, big.out = 4, 4
+	r := &req{v: w.d.vhosts[0], obj: w.d.object(1, 0), part: &part{}}
+	if got := w.d.guard(0, r, big, w.d.order(r.obj)); got != big {
+		t.Errorf("the larger cache passes as crowded with as much as the smaller")
+	}
+	if got := w.d.guard(0, r, small, w.d.order(r.obj)); got == small {
+		t.Errorf("the smaller cache is not crowded with as much as the larger")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -18,7 +18,8 @@
 	d.set = settings{zone: s.Zone, hubOf: s.Hub, parentKind: s.ParentKind, originKind: s.OriginKind,
 		direct: s.Direct, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
 		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
-		purgeSettles: s.PurgeSettles, directors: float64(max(1, s.Directors)), here: float64(max(1, s.Here))}
+		purgeSettles: s.PurgeSettles, directors: float64(max(1, s.Directors)), here: float64(max(1, s.Here)),
+		sized: s.Sized, joins: s.Joins}
 	if s.Zone < len(s.Hub) {
 		d.set.hub = s.Hub[s.Zone]
 	}
@@ -102,11 +103,11 @@
 	sum, count := 0.0, 0.0
 	for _, p := range d.met {
 		if p.role == n.role && p.take > 0 {
-			sum += p.take
+			sum += p.take / p.size
 			count++
 		}
 	}
-	return sum / max(1, count)
+	return sum / max(1, count) * n.size
 }
 
 // sharers counts the directors that may send to n: those of the location to a cache, else all.
@@ -208,7 +209,7 @@
 
 // meet makes the record of a machine listed for the first time.
 func (d *Director) meet(id uint32) *node {
-	n := &node{id: id, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
+	n := &node{id: id, size: 1, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
 		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets),
 		room: room{most: d.atStart(roomAtStart)}, listed: math.MinInt64}
 	d.nodes[id], d.met = n, append(d.met, n)
--- a/control/types.go
+++ b/control/types.go
@@ -22,6 +22,7 @@
 	Rank     uint8         // 0: keep nothing, else 1 to 3
 	HeldOnly bool          // the source gives only what it holds
 	Renew    bool          // serve an ageing copy and fetch it anew behind
+	Join     bool          // wait for a fill of the same part that is under way there
 }
 
 // Effect tells what running a req twice would do.
@@ -80,8 +81,11 @@
 	FlowKB        float64 // KB a second of one answer
 	Cache, Parent Cold
 	PurgeSettles  time.Duration
-	Directors     int // in all
-	Here          int // of them in this zone
+	Directors     int     // in all
+	Here          int     // of them in this zone
+	Joins         bool    // a req may join a fill that is under way
+	Sized         bool    // the list tells the sizes of machines, in transfers at FlowKB
+	LinkKB        float64 // KB a second of the zone's link in; 0: not told
 }
 
 // State of a machine as listed.
@@ -101,6 +105,7 @@
 	Booted     bool          // its last start is known
 	Kind, Zone int
 	Cell       int
+	Size       float64 // transfers at once that its link out carries; meaningless unless Sized
 }
 
 // Ask is a client's req as it comes in.
@@ -175,6 +180,7 @@
 	role       role
 	zone, cell int
 	ready      bool
+	size       float64 // of its link out, in transfers where the list tells it; else alike
 	booted     bool
 	boot       time.Duration
 	listed     time.Duration // the last start that the list told
@@ -326,4 +332,5 @@
 	purgeSettles                time.Duration
 	hubOf                       []int
 	directors, here             float64
+	sized, joins                bool
 }
--- a/director/feed.go
+++ b/director/feed.go
@@ -120,7 +120,7 @@
 	}
 	list := make([]control.Listed, len(e.Machines))
 	for i, m := range e.Machines {
-		l := control.Listed{Node: m.ID, State: m.State, Kind: m.Kind, Zone: m.Zone, Cell: m.Cell}
+		l := control.Listed{Node: m.ID, State: m.State, Kind: m.Kind, Zone: m.Zone, Cell: m.Cell, Size: m.Size}
 		if m.BornUnix != 0 {
 			l.Booted, l.Boot = true, d.clock.since(m.BornUnix)
 		}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -28,6 +28,7 @@
 	Zone     int
 	Kind     int
 	Cell     int
+	Size     float64 // what the list says of it, where it does
 	BornUnix int64 // millisecond of a late start; 0: long ago
 }
 
@@ -90,6 +91,7 @@
 				Zone:     int(b[11]),
 				Kind:     int(b[12]),
 				Cell:     int(binary.BigEndian.Uint16(b[13:])),
+				Size:     float64(binary.BigEndian.Uint32(b[15:])) / 1000,
 				BornUnix: int64(binary.BigEndian.Uint64(b[19:])),
 			}
 			switch b[10] {
@@ -135,6 +137,7 @@
 					Class  string  `json:"class"`
 					Block  int     `json:"block"`
 					Health string  `json:"health"`
+					Share  float64 `json:"share"`
 					Born   float64 `json:"born_ms"`
 				} `json:"hosts"`
 			} `json:"hosts"`
@@ -156,7 +159,7 @@
 		if entry.Hosts != nil {
 			e.Whole = entry.Hosts.Whole || i == 0
 			for j, h := range entry.Hosts.Hosts {
-				m := Machine{Cell: h.Block, BornUnix: int64(h.Born)}
+				m := Machine{Cell: h.Block, Size: h.Share, BornUnix: int64(h.Born)}
 				at := fmt.Sprintf("known.entries.%d.hosts.hosts.%d.", i, j)
 				if m.ID, err = ParseID(h.Host); err != nil {
 					return 0, nil, fmt.Errorf("%shost: %w", at, err)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -25,7 +25,7 @@
 	b = binary.BigEndian.AppendUint16(append(b, addr[:]...), m.Addr.Port())
 	state := map[control.State]byte{control.Ready: 0, control.Draining: 1, control.Gone: 2}[m.State]
 	b = binary.BigEndian.AppendUint16(append(b, state, byte(m.Zone), byte(m.Kind)), uint16(m.Cell))
-	return binary.BigEndian.AppendUint64(append(b, 0, 0, 3, 0xe8), uint64(m.BornUnix))
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(b, uint32(m.Size*1000)), uint64(m.BornUnix))
 }
 
 func TestFrames(t *testing.T) {
@@ -34,7 +34,7 @@
 		var payload []byte
 		for i, id := range ids {
 			m := Machine{ID: id, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 8, 1, byte(i)}), port),
-				State: control.State(i % 3), Zone: int(zone), Kind: int(kind), Cell: int(cell), BornUnix: born}
+				State: control.State(i % 3), Zone: int(zone), Kind: int(kind), Cell: int(cell), Size: float64(i%9) / 2, BornUnix: born}
 			want.Machines, payload = append(want.Machines, m), append(payload, record(m)...)
 		}
 		code := byte(2)
@@ -80,7 +80,7 @@
 		"dial":"10.1.0.9:8443","site":"east","class":"std","block":2,"health":"DRAINING","share":4,"born_ms":5}]}},
 		{"pos":42,"expire":{"name":"7f3a9c21e0b4d655","stamp":1764576000123}},{"pos":43,"expire":{"set":17,"stamp":7}}]}`
 	last, events, err := Known([]byte(text), []string{"west", "east"}, []string{"std"})
-	want := []Event{{Number: 41, Whole: true, Machines: []Machine{{ID: 0xc41f7a, Zone: 1, Cell: 2, BornUnix: 5,
+	want := []Event{{Number: 41, Whole: true, Machines: []Machine{{ID: 0xc41f7a, Zone: 1, Cell: 2, Size: 4, BornUnix: 5,
 		Addr: netip.MustParseAddrPort("10.1.0.9:8443"), State: control.Draining}}},
 		{Number: 42, Purge: &Purge{Obj: 0x7f3a9c21e0b4d655, AtUnix: 1764576000123}},
 		{Number: 43, Purge: &Purge{Group: 17, AtUnix: 7}}}
--- a/feed/write.go
+++ b/feed/write.go
@@ -27,7 +27,7 @@
 			b = binary.BigEndian.AppendUint16(b, m.Addr.Port())
 			b = append(b, states[m.State], byte(m.Zone), byte(m.Kind))
 			b = binary.BigEndian.AppendUint16(b, uint16(m.Cell))
-			b = binary.BigEndian.AppendUint32(b, 1000)
+			b = binary.BigEndian.AppendUint32(b, uint32(m.Size*1000))
 			b = binary.BigEndian.AppendUint64(b, uint64(m.BornUnix))
 		}
 	case e.Purge != nil && e.Purge.Obj != 0:
@@ -56,7 +56,7 @@
 	var hosts []map[string]any
 	for _, m := range machines {
 		hosts = append(hosts, map[string]any{"host": FormatID(m.ID), "dial": m.Addr.String(), "site": zones[m.Zone], "class": kinds[m.Kind],
-			"block": m.Cell, "health": health[m.State], "born_ms": m.BornUnix})
+			"block": m.Cell, "health": health[m.State], "share": m.Size, "born_ms": m.BornUnix})
 	}
 	return map[string]any{"pos": number, "entries": []any{map[string]any{"pos": number,
 		"hosts": map[string]any{"seq": number, "whole": true, "hosts": hosts}}}}
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -54,13 +54,15 @@
 	if a.Order.Age > 0 { // a whole millisecond at least, since 0 would mean any
 		f = strconv.AppendInt(append(f, ",agelim="...), max(1, a.Order.Age.Milliseconds()), 10)
 	}
-	switch {
-	case a.Order.HeldOnly && a.Order.Renew:
-		f = append(f, ",ways=only-if-cached+refresh"...)
-	case a.Order.HeldOnly:
-		f = append(f, ",ways=only-if-cached"...)
-	case a.Order.Renew:
-		f = append(f, ",ways=refresh"...)
+	lead := ",ways="
+	for _, way := range [...]struct {
+		asked bool
+		word  string
+	}{{a.Order.Join, "collapse"}, {a.Order.HeldOnly, "only-if-cached"}, {a.Order.Renew, "refresh"}} {
+		if way.asked {
+			f = append(append(f, lead...), way.word...)
+			lead = "+"
+		}
 	}
 	if a.Have != "" {
 		f = append(append(f, ",cached="...), a.Have...)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -409,7 +409,7 @@
 // record is a machine as it stands now.
 func (j *journal) record(id uint32, look bool) feed.Machine {
 	n := j.s.nodes[id]
-	m := feed.Machine{ID: id, Addr: n.addr, Zone: n.m.Zone, Kind: n.m.KindOf(), State: j.states[id]}
+	m := feed.Machine{ID: id, Addr: n.addr, Zone: n.m.Zone, Kind: n.m.KindOf(), State: j.states[id], Size: 1}
 	if _, ok := j.states[id]; !ok {
 		m.State = control.Ready
 	}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -74,6 +74,7 @@
 
 // bits of fetch_through's opts
 const (
+	optJoin     uint8 = 1
 	optHeldOnly uint8 = 2
 	optRenew    uint8 = 8
 )
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -179,7 +179,7 @@
 
 func (r *reader) listed(in *instance) (l control.Listed) {
 	l.State = control.State(r.u8("entry")) // 0 gone, 1 ready, 2 draining on both sides
-	r.f32("entry")
+	l.Size = r.f32("entry")
 	l.Node = r.u32("entry")
 	boot := r.u64("entry")
 	l.Kind, l.Zone, l.Cell = int(r.u8("entry")), int(r.u16("entry")), int(r.u16("entry"))
@@ -274,6 +274,9 @@
 	in.put32(wireMicros(o.Age))
 	in.put32(o.Source)
 	var opts uint8
+	if o.Join {
+		opts |= optJoin
+	}
 	if o.HeldOnly {
 		opts |= optHeldOnly
 	}
