--- a/control/control.go
+++ b/control/control.go
@@ -43,7 +43,7 @@
 	roomQuick   = 8    // below it each timely answer makes room for one more
 	roomFalls   = 0.25 // of a room, at most one, that a late answer takes where many share
 	timely      = 0.85 // of its aim: an answer at its aim is a jam begun
-	unsized     = 1.2  // times as long where the size is not known: the req may just be large
+	unsized     = 1.1  // times as long where the size is not known: the req may just be large
 	crowdSign   = 8    // and such a late answer counts this multiple of the share of late ones
 	usualSlack  = 4    // an aim of so many sending times gets the room as it is,
 	mostSlack   = 2    // a tighter one less, a looser one up to this multiple
@@ -58,7 +58,8 @@
 	oneBreak  = 20 * time.Millisecond   // failures so close are those of one connection
 	badAt     = 3                       // failures that are not chance
 	badOver   = 0.3                     // share of failures above the fleet's median
-	asideFor  = 2 * time.Second         // and up to half as much again by chance
+	asideFor  = 2 * time.Second         // and up to half as much again by chance; doubled while trials fail,
+	asideMost = 8 * time.Second         // up to this
 
 	coldSafety  = 0.75                   // of a cold machine's budget, as its capacity is a guess
 	coldBurst   = 0.25                   // of a window's budget may be saved up
@@ -125,6 +126,7 @@
 	}
 	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look}
 	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
+	o.Join = d.set.joins    // of another director: where joins are free, they fill once
 	o.Renew = r.v.Fresh > 0 // acts on a hit: others asked before, if not of this director
 	d.send(now, r, x, o)
 }
@@ -531,7 +533,9 @@
 		v.hits++
 		v.send += time.Duration(float64(o.Took-v.send) * max(settle/4, 1/v.hits))
 		if v.hits > 1/settle || v.Write { // a mean of many, but for writes, which are rare and alike
-			v.least = min(v.least, v.send) // crowding must not pass for size
+			if !v.known || v.send < v.least { // crowding must not pass for size, but the first guess goes either way
+				v.least, v.known = v.send, true
+			}
 		}
 		if r.obj.send == 0 || o.Took < r.obj.send {
 			r.obj.send = o.Took
@@ -569,7 +573,10 @@
 		d.adapt(&x.node.room, x.node.out, good, blame)
 	default:
 		d.adapt(&x.source.room, x.source.out, good, blame) // which of the two is full shows in the next fills
-		d.adapt(&d.linkRoom, d.fills, good, blame)
+		// A source that answered nobody since may hang, which says nothing of the link.
+		if good || o.Ending == Done || x.source.lived > x.at {
+			d.adapt(&d.linkRoom, d.fills, good, blame)
+		}
 		if good {
 			d.adapt(&x.node.room, x.node.out, good, blame)
 		}
@@ -635,7 +642,8 @@
 			return
 		}
 	}
-	n.aside = now + asideFor + time.Duration(unit(d.chance(n.id))/2*float64(asideFor))
+	n.spell = min(asideMost, max(asideFor, 2*n.spell)) // each in vain: all directors try in turn, each with a req
+	n.aside = now + n.spell + time.Duration(unit(d.chance(n.id))/2*float64(n.spell))
 	if n.role == cache && n.silent(now) { // it may be restarting, and the list tells that late
 		d.chill(now, n, now)
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -518,3 +518,54 @@
 		t.Errorf("the smaller cache is not crowded with as much as the larger")
 	}
 }
+
+// Fills that a hung parent swallows say nothing of the link: what other parents fill meanwhile has the room that it had. The
+// parent stays aside for longer each time that a trial of it fails.
+func TestHungParentSparesTheLink(t *testing.T) {
+	w := calm(t, 4)
+	room, aside := w.d.linkRoom.most, []time.Duration{}
+	hung, last := w.d.nodes[2], time.Duration(0)
+	for obj := uint64(1); obj < 4000 && len(aside) < 3; obj++ {
+		w.ask(0, obj, 0)
+		w.run(w.now + 20*ms)
+		for id := range w.nextID {
+			for n, x := range w.asks[id+1].tries {
+				if x.source != hung.id && w.now-x.at >= 60*ms {
+					w.end(id+1, Outcome{Dispatch: n, Fill: Filled})
+				}
+			}
+		}
+		if hung.aside > w.now && hung.aside != last {
+			last = hung.aside
+			aside = append(aside, hung.spell)
+		}
+	}
+	if w.d.linkRoom.most < room {
+		t.Errorf("room of the link %.1f of %.1f", w.d.linkRoom.most, room)
+	}
+	if want := []time.Duration{asideFor, 2 * asideFor, 4 * asideFor}; !slices.Equal(aside, want) {
+		t.Errorf("set aside for %v, want %v", aside, want)
+	}
+}
+
+// Where fills may be joined every dispatch says so; elsewhere none does.
+func TestFillsAreJoinedWhereThatIsAllowed(t *testing.T) {
+	for _, joins := range []bool{false, true} {
+		w := calm(t, 2)
+		w.d.set.joins = joins
+		if w.ask(0, 7, 0); w.last.Join != joins {
+			t.Errorf("joins %v, ordered %v", joins, w.last.Join)
+		}
+	}
+}
+
+// What reqs of unknown size usually take is learnt from answers, also where the first guess was too low.
+func TestUsualSendingTimeIsLearntUpwards(t *testing.T) {
+	w := calm(t, 3)
+	for obj := range uint64(40) {
+		w.serve(0, 100+obj, 360*ms, Outcome{Fill: Hit})
+	}
+	if got := w.d.vhosts[0].least; got < 330*ms || got > 360*ms {
+		t.Errorf("usual sending time %v, of answers in 360ms", got)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -313,7 +313,7 @@
 
 // alive notes a sign of life.
 func (n *node) alive(now time.Duration) {
-	n.late, n.lived, n.trial = 0, now, false
+	n.late, n.lived, n.trial, n.spell = 0, now, false, 0
 	n.ok.Add(now, 1)
 }
 
--- a/control/types.go
+++ b/control/types.go
@@ -192,6 +192,7 @@
 	lived      time.Duration // when that was
 	failed     time.Duration // its last failure: those of one instant count once
 	aside      time.Duration // set aside until then
+	spell      time.Duration // for so long, with a part by chance; 0 where it answered since
 	wait       time.Duration // source: smoothed fill latency
 	waitAt     time.Duration
 	strained   float64 // how much longer than sending alone its answers took, smoothed
@@ -289,6 +290,7 @@
 	send      time.Duration // smoothed sending time of its reqs
 	least     time.Duration // the least that it ever was
 	hits      float64
+	known     bool // least is of answers, not a guess
 }
 
 // Director decides for one instance.
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -40,7 +40,7 @@
 }
 
 type try struct {
-	node           uint32
+	node, source   uint32
 	at             time.Duration
 	over, neverRan bool
 }
@@ -243,7 +243,7 @@
 				"rule 5: age %v will do %v after a purge", o.Age, most)
 		}
 	}
-	a.tries = append(a.tries, &try{node: o.Node, at: w.now})
+	a.tries = append(a.tries, &try{node: o.Node, source: o.Source, at: w.now})
 	if !w.manual {
 		w.answer(a, len(a.tries)-1)
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -29,7 +29,7 @@
 	Kind     int
 	Cell     int
 	Size     float64 // what the list says of it, where it does
-	BornUnix int64 // millisecond of a late start; 0: long ago
+	BornUnix int64   // millisecond of a late start; 0: long ago
 }
 
 // Event is one numbered event. Of Machines and Purge one is set, or neither where there is nothing new.
