--- a/config/settings.go
+++ b/config/settings.go
@@ -40,6 +40,8 @@
 			Multiple: p.num("domain.parentBreaksAt"), Window: p.micros("rules.tipAfter")},
 		PurgeSettles: p.micros("domain.purgeSettles"),
 		Directors:    p.whole("instances"),
+		Probing:      p.truth("limits.probing"),
+		FaultsTold:   p.m["domain.noteLevel"] == "all",
 		Joins:        p.truth("domain.canJoin"),
 		LinkKB:       p.item("domain.feedKbPerS", p.whole("zone")).num(""),
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,7 @@
 	lossy     = 0.05                    // share of answers of live machines that never come: more is no chance
 	lostAfter = 3                       // times as long as until overdue, an answer is taken to be lost
 	silentAt  = 3                       // overdue since the last sign of life: no chance any more
+	probeRest = 250 * time.Millisecond  // between two probes of a machine
 	oneBreak  = 20 * time.Millisecond   // failures so close are those of one connection
 	badAt     = 3                       // failures that are not chance
 	badOver   = 0.3                     // share of failures above the fleet's median
@@ -116,7 +117,7 @@
 		return
 	}
 	full := !fits(d.fills, d.linkRoom.most*d.slack(r), hash(d.identity, uint64(r.token)))
-	look := !hit && !r.v.Write && (held || full) // no fill, only what is held
+	look := !hit && !r.v.Write && (held || full || src == nil) // no fill, only what is held
 	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
 		return
@@ -283,8 +284,11 @@
 		}
 	}
 	if held = len(fit) == 0; held {
-		if len(ready) == 0 || d.origin != nil && (d.origin.out == 0 || !d.origin.silent(now)) {
-			return d.origin, false
+		if o := d.origin; len(ready) == 0 || o != nil && (o.out == 0 || !o.silent(now)) {
+			if o != nil && len(ready) > 0 && !fits(o.out, o.room.most, hash(d.identity, uint64(r.token), 1)) {
+				return nil, false
+			}
+			return o, false
 		}
 		fit = ready
 	}
@@ -487,6 +491,9 @@
 			s.bad.Add(now, 1)
 			d.judge(now, s)
 		}
+	case o.Ending == Full && d.unexplained(x, o): // the cache, the source or what is behind it: a probe tells a dead one
+		c.alive(now)
+		d.probe(now, s)
 	case o.Ending == Miss || o.Ending == Full || o.Ending == Failed && r.stranger: // it may be the req
 		c.alive(now)
 	case o.Ending == NoConnect:
@@ -516,6 +523,29 @@
 	}
 }
 
+// unexplained tells whether a dispatch may have failed for its source, without a word of it.
+func (d *Director) unexplained(x *dispatch, o Outcome) bool {
+	return !d.set.faultsTold && o.Fill == Untold && !x.expectHit && x.node.role == cache && x.source.role != cache
+}
+
+// probe asks a machine whether it runs, where that is allowed.
+func (d *Director) probe(now time.Duration, n *node) {
+	if d.set.probing && now-n.probed >= probeRest {
+		n.probed = now
+		d.front.Probe(n.id)
+	}
+}
+
+// Probed takes what came of a probe. A machine that refused the connection is dead, and will be cold when it is
+// back: no director may meet it with what it took when warm. Guards against restarts that the list tells of late.
+func (d *Director) Probed(now time.Duration, id uint32, e Ending) {
+	if n := d.nodes[id]; n != nil && e == NoConnect {
+		n.wiped, n.late, n.lived = now, silentAt, now-leastWait
+		d.setAside(now, n)
+		d.chill(now, n, now)
+	}
+}
+
 // fit smooths sending times and how far the time taken lies from the time expected, of the cache as well.
 func (x *dispatch) fit(d *Director, o Outcome) {
 	r, v := x.r, x.r.v
@@ -568,6 +598,8 @@
 	switch {
 	case x.lost, o.Held, o.Ending == Cancelled && (!x.late || d.lossShare > lossy):
 	case o.Ending != Done && o.Ending != Full && o.Ending != TimedOut && o.Ending != Cancelled:
+	case o.Ending == Full && d.unexplained(x, o):
+		d.adapt(&x.source.room, x.source.out, good, blame)
 	case x.expectHit || o.Fill == Hit || o.Ending == Full,
 		x.node.role == cache && d.strain(x.node) > crowdStrain: // which is late whatever the link does
 		d.adapt(&x.node.room, x.node.out, good, blame)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -569,3 +569,55 @@
 		t.Errorf("usual sending time %v, of answers in 360ms", got)
 	}
 }
+
+// Where answers do not tell why a fill failed, a refused one may be the cache's or its source's. The source is probed: one that
+// refuses the connection is dead, gets nothing for now and is cold when it is back. No probe goes out where none is allowed,
+// nor where answers tell.
+func TestRefusedFillHasItsSourceProbed(t *testing.T) {
+	for _, c := range []struct{ allowed, told bool }{{true, false}, {false, false}, {true, true}} {
+		w := calm(t, 4)
+		w.d.set.probing, w.d.set.faultsTold = c.allowed, c.told
+		w.run(time.Second)
+		w.serve(0, 1, 5*ms, Outcome{Ending: Full})
+		if got, want := len(w.probes), c.allowed && !c.told; (got == 1) != want || got > 1 {
+			t.Fatalf("%+v: %d probes", c, got)
+		}
+		if len(w.probes) == 0 {
+			continue
+		}
+		p := w.d.nodes[w.probes[0]]
+		w.d.Probed(w.now, p.id, Done)
+		if p.aside > w.now || !w.d.warm(w.now, p) {
+			t.Error("a parent that runs was set aside or taken to be cold")
+		}
+		w.d.Probed(w.now, p.id, NoConnect)
+		if p.aside <= w.now || w.d.warm(w.now, p) {
+			t.Error("a dead parent was not set aside, or is not taken to be cold")
+		}
+		w.d.Probed(w.now, 999, NoConnect) // of a machine that left meanwhile
+	}
+}
+
+// With no parent fit, fills go to the origin only as far as it has room: else all directors crowd it together.
+func TestOriginWithoutRoomGetsNoFill(t *testing.T) {
+	w := calm(t, 3)
+	for _, p := range w.d.parents {
+		p.aside = time.Hour
+	}
+	o := w.d.origin
+	for obj := uint64(1); o.room.most >= 1 && obj < 200; obj++ {
+		w.d.set.faultsTold = false
+		w.serve(0, obj, 5*ms, Outcome{Ending: Full})
+		w.run(w.now + 5*time.Second)
+	}
+	o.out, o.room.most = 1, 1
+	for obj := range uint64(20) {
+		if w.serve(0, 1000+obj, ms, Outcome{Ending: Miss}); w.last.Source == o.id {
+			t.Fatal("a fill went to an origin that has no room")
+		}
+	}
+	if w.ask(3, 5000, 0); w.last.Source != o.id {
+		t.Error("a write did not go to the origin")
+	}
+	o.out = 0
+}
--- a/control/state.go
+++ b/control/state.go
@@ -19,7 +19,7 @@
 		direct: s.Direct, mayCancel: s.MayCancel, comeBack: s.ComeBack, maxComeBack: s.MaxComeBack,
 		maxDispatches: s.MaxDispatches, kbPerMilli: s.FlowKB / 1000, cache: s.Cache, parent: s.Parent,
 		purgeSettles: s.PurgeSettles, directors: float64(max(1, s.Directors)), here: float64(max(1, s.Here)),
-		sized: s.Sized, joins: s.Joins}
+		sized: s.Sized, joins: s.Joins, probing: s.Probing, faultsTold: s.FaultsTold}
 	if s.Zone < len(s.Hub) {
 		d.set.hub = s.Hub[s.Zone]
 	}
@@ -209,7 +209,7 @@
 
 // meet makes the record of a machine listed for the first time.
 func (d *Director) meet(id uint32) *node {
-	n := &node{id: id, size: 1, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
+	n := &node{id: id, size: 1, probed: math.MinInt64 / 2, load: NewRing(loadWidth, loadBuckets), work: NewRing(time.Second, 8),
 		ok: NewRing(loadWidth, 2*loadBuckets), bad: NewRing(loadWidth, 2*loadBuckets),
 		room: room{most: d.atStart(roomAtStart)}, listed: math.MinInt64}
 	d.nodes[id], d.met = n, append(d.met, n)
--- a/control/types.go
+++ b/control/types.go
@@ -11,6 +11,7 @@
 	Deny(req uint32, comeBack time.Duration)
 	Abort(req uint32)
 	After(wait time.Duration, token uint32)
+	Probe(node uint32) // asks whether a machine runs; Probed tells what came of it
 }
 
 // Order is one dispatch with what the cache is to do on a miss.
@@ -83,6 +84,8 @@
 	PurgeSettles  time.Duration
 	Directors     int     // in all
 	Here          int     // of them in this zone
+	Probing       bool    // machines may be probed
+	FaultsTold    bool    // an answer tells why a fill failed
 	Joins         bool    // a req may join a fill that is under way
 	Sized         bool    // the list tells the sizes of machines, in transfers at FlowKB
 	LinkKB        float64 // KB a second of the zone's link in; 0: not told
@@ -180,7 +183,8 @@
 	role       role
 	zone, cell int
 	ready      bool
-	size       float64 // of its link out, in transfers where the list tells it; else alike
+	probed     time.Duration // when it was asked whether it runs
+	size       float64       // of its link out, in transfers where the list tells it; else alike
 	booted     bool
 	boot       time.Duration
 	listed     time.Duration // the last start that the list told
@@ -335,4 +339,5 @@
 	hubOf                       []int
 	directors, here             float64
 	sized, joins                bool
+	probing, faultsTold         bool
 }
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -25,6 +25,7 @@
 	fault  string
 	manual bool // outcomes come from the test, not by chance
 	last   Order
+	probes []uint32
 }
 
 type pending struct {
@@ -304,3 +305,5 @@
 func (w *world) After(wait time.Duration, token uint32) {
 	w.due = append(w.due, pending{at: w.now + max(wait, ms), token: token})
 }
+
+func (w *world) Probe(node uint32) { w.probes = append(w.probes, node) }
--- a/director/director.go
+++ b/director/director.go
@@ -81,6 +81,9 @@
 	d.answer(id, func(r *req) { r.abort("given up") })
 }
 
+// Probe does nothing yet.
+func (d *Director) Probe(uint32) {}
+
 // defect, deferred, logs a panic and goes on.
 func (d *Director) defect(where string) {
 	if fault := recover(); fault != nil {
--- a/plan/play.go
+++ b/plan/play.go
@@ -474,6 +474,9 @@
 	p.w.Ask(o.Node, ask)
 }
 
+// Probe does nothing: the model of a fleet knows no probes, and its settings allow none.
+func (i *instance) Probe(uint32) {}
+
 func (i *instance) Cancel(id uint32, number int) {
 	a := i.open[id]
 	if a == nil || number >= len(a.out) || a.out[number].over {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -68,6 +68,7 @@
 	acRespondError  uint8 = 2
 	acStopAttempt   uint8 = 3
 	acAfter         uint8 = 4
+	acSoundOut      uint8 = 5
 	acFetchThrough  uint8 = 12
 	acInstance      uint8 = 13
 )
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -154,9 +154,13 @@
 			if token := r.u32("wakeup"); in != nil && r.err == nil {
 				in.dir.Timer(now, token)
 			}
-		case evProbeDone: // nobody here probes
-			r.take(10, "probe_done")
-			r.pressure()
+		case evProbeDone:
+			o := ending(r.u16("probe_done"))
+			r.u32("probe_done")
+			node := r.u32("probe_done")
+			if r.pressure(); in != nil && r.err == nil {
+				in.dir.Probed(now, node, o)
+			}
 		case evPeer: // nor talks to peers
 			r.take(2, "peer")
 			r.take(r.count(uint32(r.u16("peer")), 1, "peer"), "peer")
@@ -303,6 +307,11 @@
 	in.put32(req)
 }
 
+func (in *instance) Probe(node uint32) {
+	in.act(acSoundOut)
+	in.put32(node)
+}
+
 func (in *instance) After(wait time.Duration, token uint32) {
 	in.act(acAfter)
 	in.put32(wireMicros(wait))
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -149,7 +149,10 @@
 	in.After(-time.Second, 7)
 	in.After(1500*time.Nanosecond, 8)
 	in.Deny(1, time.Duration(math.MaxInt64))
-	want := "0d03000cc4913a5da0bf0b0002074a121a60e31600f211902c08" + "040000000007000000" + "040200000008000000" + "0101000000ffffff7f"
+	in.Probe(7)
+	in.Dispatch(1, control.Order{Node: 2, Source: 2, Join: true})
+	want := "0d03000cc4913a5da0bf0b0002074a121a60e31600f211902c08" + "040000000007000000" + "040200000008000000" + "0101000000ffffff7f" +
+		"0507000000" + "0c0100000000000000" + "00" + "02000000" + "00000000" + "02000000" + "01"
 	if got := hex.EncodeToString(h.out); got != want {
 		t.Errorf("wrote %s\nwant  %s", got, want)
 	}
