--- a/control/control.go
+++ b/control/control.go
@@ -69,8 +69,8 @@
 	againEach   = 0.15                   // further dispatches earned by each req
 	againMost   = 25                     // and saved up: a cache's worth of reqs
 	waitShare   = 0.4                    // of its time that a req may wait behind a fill
-	backLeast   = 200 * time.Millisecond // a denied client may come back after this and a random
-	backSpread  = 600 * time.Millisecond // part of this, so that they do not come together
+	backLeast   = 50 * time.Millisecond  // a denied client may come back after this and a random
+	backSpread  = 150 * time.Millisecond // part of this: room comes and goes within a req, and its target is near
 	answerEarly = 25 * time.Millisecond  // before the client timeout the last answer leaves: a busy core is late
 	clearly     = 1.5                    // times quicker: the first of a pair may have the object
 	restless    = 3 * time.Second        // half-life of a fill latency that is not renewed
