A director without any source sends its reqs on as before

At fault: route took a missing source for an origin without room, so every further dispatch was a look and was denied. Now only an origin without room says so (held, no source). noteLevel absent means all, as nodes on sockets note all.

--- a/config/settings.go
+++ b/config/settings.go
@@ -41,11 +41,17 @@
 		PurgeSettles: p.micros("domain.purgeSettles"),
 		Directors:    p.whole("instances"),
 		Probing:      p.truth("limits.probing"),
-		FaultsTold:   p.m["domain.noteLevel"] == "all",
 		Joins:        p.truth("domain.canJoin"),
 		LinkKB:       p.item("domain.feedKbPerS", p.whole("zone")).num(""),
 	}
 	s.Here = p.item("domain.zoneBalancers", s.Zone).whole("")
+	switch level := p.m["domain.noteLevel"]; level {
+	case "", "all": // absent as before: real nodes note all
+		s.FaultsTold = true
+	case "hit", "none":
+	default:
+		p.fail("domain.noteLevel", "unknown %q", level)
+	}
 	switch kind := p.m["weightKind"]; kind {
 	case "nominal", "rough":
 		s.Sized = true
--- a/control/control.go
+++ b/control/control.go
@@ -117,13 +117,13 @@
 		return
 	}
 	full := !fits(d.fills, d.linkRoom.most*d.slack(r), hash(d.identity, uint64(r.token)))
-	look := !hit && !r.v.Write && (held || full || src == nil) // no fill, only what is held
+	look := !hit && !r.v.Write && (held || full) // no fill, only what is held
 	if look && (len(r.sent) > 0 || passBy || !d.warm(now, c)) {
 		d.giveUp(now, r)
 		return
 	}
 	if src == nil || look && !held {
-		src = c
+		src, held = c, false
 	}
 	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look}
 	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
@@ -286,7 +286,7 @@
 	if held = len(fit) == 0; held {
 		if o := d.origin; len(ready) == 0 || o != nil && (o.out == 0 || !o.silent(now)) {
 			if o != nil && len(ready) > 0 && !fits(o.out, o.room.most, hash(d.identity, uint64(r.token), 1)) {
-				return nil, false
+				return nil, true
 			}
 			return o, false
 		}
