--- a/config/config_test.go
+++ b/config/config_test.go
@@ -81,6 +81,8 @@
 		{`"read_like"`, `"readlike"`, "settings.classes.0.idempotency"}, {`"sendCap":8`, `"sendCap":800`, "settings.limits.sendCap"},
 		{`"zone":1`, `"zone":"east"`, "settings.zone"}, {`"site":"east, far"`, `"site":"south"`, "known.entries.0.hosts.hosts.0.site"},
 		{`"rampTime":17000000,`, ``, "settings.rules.rampTime"}, {`"instances":3,`, ``, "settings.instances"},
+		{`"midKind":1`, `"midKind":1,"canJoin":"yes"`, "settings.domain.canJoin"}, {`"me":2`, `"me":2,"weightKind":"big"`, "settings.weightKind"},
+		{`"midKind":1`, `"midKind":1,"noteLevel":"some"`, "settings.domain.noteLevel"}, {`"cancel":true`, `"cancel":true,"probing":1`, "settings.limits.probing"},
 	} {
 		bad := strings.Replace(good, c[0], c[1], 1)
 		if _, err := Parse([]byte(bad), "", ""); err == nil || !strings.HasPrefix(err.Error(), c[2]+":") {
--- a/config/settings.go
+++ b/config/settings.go
@@ -42,9 +42,13 @@
 		Directors:    p.whole("instances"),
 		Probing:      p.truth("limits.probing"),
 		Joins:        p.truth("domain.canJoin"),
-		LinkKB:       p.item("domain.feedKbPerS", p.whole("zone")).num(""),
 	}
 	s.Here = p.item("domain.zoneBalancers", s.Zone).whole("")
+	for _, key := range []string{"domain.canJoin", "limits.probing"} {
+		if v := p.m[key]; v != "" && v != "true" && v != "false" {
+			p.fail(key, "%q is neither true nor false", v)
+		}
+	}
 	switch level := p.m["domain.noteLevel"]; level {
 	case "", "all": // absent as before: real nodes note all
 		s.FaultsTold = true
--- a/control/types.go
+++ b/control/types.go
@@ -82,13 +82,12 @@
 	FlowKB        float64 // KB a second of one answer
 	Cache, Parent Cold
 	PurgeSettles  time.Duration
-	Directors     int     // in all
-	Here          int     // of them in this zone
-	Probing       bool    // machines may be probed
-	FaultsTold    bool    // an answer tells why a fill failed
-	Joins         bool    // a req may join a fill that is under way
-	Sized         bool    // the list tells the sizes of machines, in transfers at FlowKB
-	LinkKB        float64 // KB a second of the zone's link in; 0: not told
+	Directors     int  // in all
+	Here          int  // of them in this zone
+	Probing       bool // machines may be probed
+	FaultsTold    bool // an answer tells why a fill failed
+	Joins         bool // a req may join a fill that is under way
+	Sized         bool // the list tells the sizes of machines, in transfers at FlowKB
 }
 
 // State of a machine as listed.
--- a/director/director.go
+++ b/director/director.go
@@ -81,8 +81,15 @@
 	d.answer(id, func(r *req) { r.abort("given up") })
 }
 
-// Probe does nothing yet.
-func (d *Director) Probe(uint32) {}
+// Probe asks a node whether it runs. It says nothing where no socket is to spare.
+func (d *Director) Probe(id uint32) {
+	d.nodes.probe(id, func(e control.Ending) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		defer d.defect("probe")
+		d.dir.Probed(d.clock.now(), id, e)
+	})
+}
 
 // defect, deferred, logs a panic and goes on.
 func (d *Director) defect(where string) {
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -901,3 +901,38 @@
 		t.Errorf("names are out of step: %v", AnsweredLate)
 	}
 }
+
+// A probe tells a node that answers, one that is silent and one that refuses; it takes no socket that a req may need.
+func TestProbe(t *testing.T) {
+	w := start(t, 1)
+	w.d.nodes.conf.DialTimeout = 200 * time.Millisecond
+	ends := make(chan control.Ending, 1)
+	ask := func(id uint32) { w.d.nodes.probe(id, func(e control.Ending) { ends <- e }) }
+	ask(1)
+	w.next("PING").reply(t, "PONG", "-", "")
+	if e := <-ends; e != control.Done {
+		t.Errorf("a node that answers: %v", e)
+	}
+	ask(1)
+	w.next("PING")
+	if e := <-ends; e != control.TimedOut {
+		t.Errorf("a silent node: %v", e)
+	}
+	ask(0xaa)
+	if e := <-ends; e != control.NoConnect {
+		t.Errorf("a dead node: %v", e)
+	}
+	w.d.nodes.mu.Lock()
+	left := w.d.nodes.left
+	w.d.nodes.left = w.d.nodes.spare
+	w.d.nodes.mu.Unlock()
+	ask(1)
+	select {
+	case a := <-w.asks:
+		t.Errorf("probed with no socket to spare: %v", a)
+	case <-time.After(100 * time.Millisecond):
+	}
+	w.d.nodes.mu.Lock()
+	w.d.nodes.left = left
+	w.d.nodes.mu.Unlock()
+}
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"bufio"
 	"net"
 	"net/netip"
 	"slices"
@@ -151,6 +152,46 @@
 	return true
 }
 
+// probe pings a node over a connection of its own, as those that carry reqs may be stuck, and tells how that ended: Done,
+// NoConnect or TimedOut. Reqs go first: with few sockets left it does not ask.
+func (s *nodes) probe(id uint32, told func(control.Ending)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.byID[id]
+	if n == nil || s.left <= s.spare {
+		return
+	}
+	s.left--
+	addr := n.addr.String()
+	go func() {
+		e := s.ping(addr)
+		s.mu.Lock()
+		s.left++
+		s.mu.Unlock()
+		told(e)
+	}()
+}
+
+// ping takes twice the time for a dial at most.
+func (s *nodes) ping(addr string) control.Ending {
+	nc, err := s.dialer.Dial("tcp", addr)
+	if err != nil {
+		if endingOfDial(err) == NeverConnected {
+			return control.NoConnect
+		}
+		return control.TimedOut
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(s.conf.DialTimeout))
+	if _, err := nc.Write(resp.AppendPing(nil, "probe")); err != nil {
+		return control.TimedOut
+	}
+	if a, err := resp.Read(bufio.NewReader(nc)); err != nil || a.Word != resp.Pong || a.ID != "probe" {
+		return control.TimedOut
+	}
+	return control.Done
+}
+
 // withdraw gives a dispatch up. It has ended once the node was told, or could not be.
 func (x *dispatch) withdraw(why Ending) {
 	s := x.r.d.nodes
--- a/resp/node.go
+++ b/resp/node.go
@@ -103,6 +103,8 @@
 		case "ways":
 			for way := range bytes.SplitSeq(v, []byte("+")) {
 				switch string(way) {
+				case "collapse":
+					c.Order.Join = true
 				case "only-if-cached":
 					c.Order.HeldOnly = true
 				case "refresh":
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -72,6 +72,11 @@
 	return bulk(b, a.Body)
 }
 
+// AppendPing writes a question whether the node runs; it answers Pong under the tag.
+func AppendPing(b []byte, tag string) []byte {
+	return bulk(bulk(append(b, "*2\r\n"...), "PING"), tag)
+}
+
 // AppendDrop writes that a req is given up.
 func AppendDrop(b []byte, id string) []byte {
 	return bulk(bulk(append(b, "*2\r\n"...), "DROP"), id)
