While fills are refused behind parents that run, others ask only for what parents hold

At fault: source() asks for what parents hold only once no parent is fit, and nothing summed up refusals over all parents, as each tells of itself alone. Change: refusals without a word are counted once a probe says that their source runs (or at once where probing is not allowed); over a quarter of fills, as many of the next go out with HeldOnly, and what is not held is denied. What such a look brings does not count as a fill that went well.

--- a/control/control.go
+++ b/control/control.go
@@ -52,6 +52,7 @@
 	waitDevs  = 4.0                     // overdue: this many mean deviations over the mean,
 	leastWait = 400 * time.Millisecond  // never before this, as pauses are shorter,
 	mostWait  = 2500 * time.Millisecond // and after this in any case
+	refusedAt = 0.25                    // share of fills refused without a word: more is the origin's trouble
 	lossy     = 0.05                    // share of answers of live machines that never come: more is no chance
 	lostAfter = 3                       // times as long as until overdue, an answer is taken to be lost
 	silentAt  = 3                       // overdue since the last sign of life: no chance any more
@@ -125,7 +126,7 @@
 	if src == nil || look && !held {
 		src, held = c, false
 	}
-	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look}
+	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look, held: held}
 	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
 	o.Join = d.set.joins    // of another director: where joins are free, they fill once
 	o.Renew = r.v.Fresh > 0 // acts on a hit: others asked before, if not of this director
@@ -295,6 +296,9 @@
 	if len(fit) == 1 && !held && d.origin != nil && d.origin.out < fit[0].out/2 {
 		return d.origin, false // guards one parent alone from carrying what two did
 	}
+	if d.refused > refusedAt && unit(hash(d.identity, uint64(r.token), 2)) < d.refused {
+		held = true // most of it fails behind the parents: what they hold spares what is there
+	}
 	slices.SortFunc(fit, byHash(r.obj.id))
 	slices.SortStableFunc(fit, func(a, b *node) int { return a.hops - b.hops }) // bytes count again for each hub
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
@@ -480,6 +484,9 @@
 		}
 		if o.Fill == Filled || o.Fill == FilledByOrigin {
 			s.alive(now)
+			if s.role == parent && !x.held {
+				d.refused -= d.refused * settle
+			}
 			s.work.Add(now, r.v.send.Seconds())
 			wait := max(o.Waited, o.Took-d.expected(r), time.Millisecond) // a slow link shows late
 			s.wait += time.Duration(float64(wait-s.wait) * 2 * settle)
@@ -493,6 +500,7 @@
 		}
 	case o.Ending == Full && d.unexplained(x, o): // the cache, the source or what is behind it: a probe tells a dead one
 		c.alive(now)
+		s.unsaid++
 		d.probe(now, s)
 	case o.Ending == Miss || o.Ending == Full || o.Ending == Failed && r.stranger: // it may be the req
 		c.alive(now)
@@ -530,7 +538,9 @@
 
 // probe asks a machine whether it runs, where that is allowed.
 func (d *Director) probe(now time.Duration, n *node) {
-	if d.set.probing && now-n.probed >= probeRest {
+	if !d.set.probing {
+		d.Probed(now, n.id, Moot)
+	} else if now-n.probed >= probeRest {
 		n.probed = now
 		d.front.Probe(n.id)
 	}
@@ -539,11 +549,18 @@
 // Probed takes what came of a probe. A machine that refused the connection is dead, and will be cold when it is
 // back: no director may meet it with what it took when warm. Guards against restarts that the list tells of late.
 func (d *Director) Probed(now time.Duration, id uint32, e Ending) {
-	if n := d.nodes[id]; n != nil && e == NoConnect {
+	n := d.nodes[id]
+	if n == nil {
+		return
+	}
+	if e == NoConnect {
 		n.wiped, n.late, n.lived = now, silentAt, now-leastWait
 		d.setAside(now, n)
 		d.chill(now, n, now)
+	} else {
+		d.refused += (1 - d.refused) * (1 - math.Pow(1-settle, n.unsaid)) // it runs: the trouble lies behind
 	}
+	n.unsaid = 0
 }
 
 // fit smooths sending times and how far the time taken lies from the time expected, of the cache as well.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -621,3 +621,35 @@
 	}
 	o.out = 0
 }
+
+// While fills are refused behind parents that run, as many of the next ask parents only for what they hold; a source that is dead
+// says nothing of what is behind it.
+func TestRefusedFillsSpareTheOrigin(t *testing.T) {
+	for _, c := range []struct {
+		probe Ending
+		spare bool
+	}{{Done, true}, {NoConnect, false}} {
+		w := calm(t, 4)
+		w.d.set.probing = true
+		held := 0
+		for obj := range uint64(60) {
+			w.serve(0, 1+obj, 5*ms, Outcome{Ending: Full})
+			for _, p := range w.probes {
+				w.d.Probed(w.now, p, c.probe)
+			}
+			w.probes = nil
+			w.run(w.now + 300*ms)
+			for _, p := range w.d.parents {
+				p.aside = 0
+			}
+			w.d.again = againMost
+			if w.ask(0, 10000+obj, 0); w.last.HeldOnly {
+				held++
+			}
+			w.endAll(0, 0, Filled)
+		}
+		if (held >= 10) != c.spare || !c.spare && held > 0 {
+			t.Errorf("probes end with %d: %d of 60 fills asked only for what is held", c.probe, held)
+		}
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -182,6 +182,7 @@
 	role       role
 	zone, cell int
 	ready      bool
+	unsaid     float64       // fills refused since without a word
 	probed     time.Duration // when it was asked whether it runs
 	size       float64       // of its link out, in transfers where the list tells it; else alike
 	booted     bool
@@ -284,6 +285,7 @@
 	expectHit   bool
 	fill        float64 // how probably it fills
 	late, over  bool
+	held        bool // of its source only what it holds
 	lost        bool // overdue while its machine answered others
 }
 
@@ -319,6 +321,7 @@
 	linkRoom          room
 	lateShare         float64 // of what was answered lately, smoothed
 	answers           float64 // had so far
+	refused           float64 // of fills by parents, those refused without a word, smoothed
 	lossShare         float64 // of answers of live machines, those that never came, smoothed
 	again             float64 // further dispatches saved up
 	asks              Ring
