--- a/control/control.go
+++ b/control/control.go
@@ -71,7 +71,7 @@
 	againMost   = 25                     // and saved up: a cache's worth of reqs
 	waitShare   = 0.4                    // of its time that a req may wait behind a fill
 	backLeast   = 50 * time.Millisecond  // a denied client may come back after this and a random
-	backSpread  = 150 * time.Millisecond // part of this: room comes and goes within a req, and its target is near
+	backSpread  = 150 * time.Millisecond // part of this: room is free again soon, and the target near
 	answerEarly = 25 * time.Millisecond  // before the client timeout the last answer leaves: a busy core is late
 	clearly     = 1.5                    // times quicker: the first of a pair may have the object
 	restless    = 3 * time.Second        // half-life of a fill latency that is not renewed
@@ -498,7 +498,7 @@
 			s.bad.Add(now, 1)
 			d.judge(now, s)
 		}
-	case o.Ending == Full && d.unexplained(x, o): // the cache, the source or what is behind it: a probe tells a dead one
+	case o.Ending == Full && d.unexplained(x, o): // by the cache, its source or what is behind: a probe tells
 		c.alive(now)
 		s.unsaid++
 		d.probe(now, s)
@@ -533,7 +533,8 @@
 
 // unexplained tells whether a dispatch may have failed for its source, without a word of it.
 func (d *Director) unexplained(x *dispatch, o Outcome) bool {
-	return !d.set.faultsTold && o.Fill == Untold && !x.expectHit && x.node.role == cache && x.source.role != cache
+	return !d.set.faultsTold && o.Fill == Untold && !x.expectHit &&
+		x.node.role == cache && x.source.role != cache
 }
 
 // probe asks a machine whether it runs, where that is allowed.
@@ -546,8 +547,8 @@
 	}
 }
 
-// Probed takes what came of a probe. A machine that refused the connection is dead, and will be cold when it is
-// back: no director may meet it with what it took when warm. Guards against restarts that the list tells of late.
+// Probed takes what came of a probe. A machine that refused the connection is dead, and cold when it is back: none
+// may meet it with what it took when warm. Guards against restarts that the list tells of late.
 func (d *Director) Probed(now time.Duration, id uint32, e Ending) {
 	n := d.nodes[id]
 	if n == nil {
@@ -580,7 +581,7 @@
 		v.hits++
 		v.send += time.Duration(float64(o.Took-v.send) * max(settle/4, 1/v.hits))
 		if v.hits > 1/settle || v.Write { // a mean of many, but for writes, which are rare and alike
-			if !v.known || v.send < v.least { // crowding must not pass for size, but the first guess goes either way
+			if !v.known || v.send < v.least { // crowding must not pass for size; the guess goes either way
 				v.least, v.known = v.send, true
 			}
 		}
@@ -691,7 +692,7 @@
 			return
 		}
 	}
-	n.spell = min(asideMost, max(asideFor, 2*n.spell)) // each in vain: all directors try in turn, each with a req
+	n.spell = min(asideMost, max(asideFor, 2*n.spell)) // all directors try in turn, each at a req's cost
 	n.aside = now + n.spell + time.Duration(unit(d.chance(n.id))/2*float64(n.spell))
 	if n.role == cache && n.silent(now) { // it may be restarting, and the list tells that late
 		d.chill(now, n, now)
