--- a/control/control.go
+++ b/control/control.go
@@ -547,8 +547,8 @@
 	}
 }
 
-// Probed takes what came of a probe. A machine that refused the connection is dead, and cold when it is back: none
-// may meet it with what it took when warm. Guards against restarts that the list tells of late.
+// Probed takes what came of a probe. A machine that refused it is dead, and cold when it is back: none may ask
+// of it then what it took when warm. Guards against restarts that the list tells of late.
 func (d *Director) Probed(now time.Duration, id uint32, e Ending) {
 	n := d.nodes[id]
 	if n == nil {
@@ -581,9 +581,7 @@
 		v.hits++
 		v.send += time.Duration(float64(o.Took-v.send) * max(settle/4, 1/v.hits))
 		if v.hits > 1/settle || v.Write { // a mean of many, but for writes, which are rare and alike
-			if !v.known || v.send < v.least { // crowding must not pass for size; the guess goes either way
-				v.least, v.known = v.send, true
-			}
+			v.least = min(v.least, v.send) // crowding must not pass for size
 		}
 		if r.obj.send == 0 || o.Took < r.obj.send {
 			r.obj.send = o.Took
--- a/control/types.go
+++ b/control/types.go
@@ -295,7 +295,6 @@
 	send      time.Duration // smoothed sending time of its reqs
 	least     time.Duration // the least that it ever was
 	hits      float64
-	known     bool // least is of answers, not a guess
 }
 
 // Director decides for one instance.
