--- a/control/control.go
+++ b/control/control.go
@@ -547,8 +547,8 @@
 	}
 }
 
-// Probed takes what came of a probe. A machine that refused it is dead, and cold when it is back: none may ask
-// of it then what it took when warm. Guards against restarts that the list tells of late.
+// Probed takes what came of a probe. A machine that refused it is dead, and cold when it is back: none may
+// ask of it then what it took when warm. Guards against restarts that the list tells of late.
 func (d *Director) Probed(now time.Duration, id uint32, e Ending) {
 	n := d.nodes[id]
 	if n == nil {
