Fleets of the planner tell why fills fail, as their stand-in nodes do

Seen: TestSettingsAlike (fleet) in a clean clone; the file that a fleet writes has no noteLevel, which means all, while the planner's own settings said that faults are not told. Change: fleet.Settings says so too, so that plays and stand-ins decide alike.

--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -24,7 +24,7 @@
 	s := control.Settings{Seed: seed, Me: me, Zone: zone, ParentKind: ParentKind, OriginKind: OriginKind,
 		MayCancel: *f.Directors.Cancel, ComeBack: true, MaxComeBack: f.Directors.Back.D(),
 		MaxDispatches: f.Directors.Sends, FlowKB: float64(f.Flow) / 1000, Cache: f.Cold.control(), Parent: f.ParentCold.control(),
-		PurgeSettles: f.Directors.Purge.D(), Here: f.Zones[zone].Directors}
+		PurgeSettles: f.Directors.Purge.D(), Here: f.Zones[zone].Directors, FaultsTold: true}
 	s.Parent.Window = s.Cache.Window // directors are told one
 	for _, z := range f.Zones {
 		s.Hub = append(s.Hub, z.Hub)
