--- a/migrate/migrate.go
+++ b/migrate/migrate.go
@@ -186,16 +186,24 @@
 }
 
 // put sets a value, or takes the key out where the value is nil.
-func put(in map[string]any, path string, value any) error {
+func put(settings map[string]any, path string, value any) error {
+	in := settings
 	group, key, nested := strings.Cut(path, ".")
 	if nested {
-		if in[group] == nil {
+		if in[group] == nil && value == nil {
+			return nil
+		} else if in[group] == nil {
 			in[group] = map[string]any{}
 		}
 		inner, ok := in[group].(map[string]any)
 		if !ok {
 			return fmt.Errorf("settings.%s: an object is expected", group)
 		}
+		defer func() { // a group that the way back leaves empty was not there
+			if len(inner) == 0 {
+				delete(settings, group)
+			}
+		}()
 		in = inner
 	} else {
 		key = group
