A probe that timed out says nothing; sizes in a configuration are bounded

Seen on reading the change: Probed took every end but NoConnect for a machine that runs, so silent or cut-off parents counted as an origin in trouble, against what docs/assumptions.md says; refusals waited for a lost answer without end; a share of 1e300 in known was taken. At fault: the else branch in Probed, learn's unsaid, feed.Known. Change: only an answered probe counts (or a refusal where none may ask), refusals older than a second before a new probe are forgotten, a share has the bound of a record. migrate's put is plain again. Test: TestRefusedFillsSpareTheOrigin fails without it (15 of 60 held after time-outs).

--- a/control/control.go
+++ b/control/control.go
@@ -56,7 +56,8 @@
 	lossy     = 0.05                    // share of answers of live machines that never come: more is no chance
 	lostAfter = 3                       // times as long as until overdue, an answer is taken to be lost
 	silentAt  = 3                       // overdue since the last sign of life: no chance any more
-	probeRest = 250 * time.Millisecond  // between two probes of a machine
+	probeRest = 250 * time.Millisecond  // between two probes of a machine,
+	probeOld  = time.Second             // and after which the answer to one no longer counts
 	oneBreak  = 20 * time.Millisecond   // failures so close are those of one connection
 	badAt     = 3                       // failures that are not chance
 	badOver   = 0.3                     // share of failures above the fleet's median
@@ -500,6 +501,9 @@
 		}
 	case o.Ending == Full && d.unexplained(x, o): // by the cache, its source or what is behind: a probe tells
 		c.alive(now)
+		if now-s.probed > probeOld {
+			s.unsaid = 0 // of a probe whose answer was lost
+		}
 		s.unsaid++
 		d.probe(now, s)
 	case o.Ending == Miss || o.Ending == Full || o.Ending == Failed && r.stranger: // it may be the req
@@ -554,12 +558,13 @@
 	if n == nil {
 		return
 	}
-	if e == NoConnect {
+	switch e { // one that timed out says nothing
+	case NoConnect:
 		n.wiped, n.late, n.lived = now, silentAt, now-leastWait
 		d.setAside(now, n)
 		d.chill(now, n, now)
-	} else {
-		d.refused += (1 - d.refused) * (1 - math.Pow(1-settle, n.unsaid)) // it runs: the trouble lies behind
+	case Done, Moot: // it runs, or nobody may ask: the trouble lies behind
+		d.refused += (1 - d.refused) * (1 - math.Pow(1-settle, n.unsaid))
 	}
 	n.unsaid = 0
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -612,7 +612,7 @@
 	for _, c := range []struct {
 		probe Ending
 		spare bool
-	}{{Done, true}, {NoConnect, false}} {
+	}{{Done, true}, {NoConnect, false}, {TimedOut, false}} {
 		w := calm(t, 4)
 		w.d.set.probing = true
 		held := 0
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -17,7 +17,8 @@
 const (
 	mostFrame  = 4 << 20
 	recordSize = 27
-	headSize   = 9 // number and kind
+	mostSize   = (1<<32 - 1) / 1000.0 // that a record can hold, in thousandths
+	headSize   = 9                    // number and kind
 )
 
 // Machine is one of the list.
@@ -167,6 +168,9 @@
 				if m.Addr, err = netip.ParseAddrPort(h.Dial); err != nil {
 					return 0, nil, fmt.Errorf("%sdial: %w", at, err)
 				}
+				if m.Size < 0 || m.Size > mostSize {
+					return 0, nil, fmt.Errorf("%sshare: %g is no size", at, m.Size)
+				}
 				var ok bool
 				if m.Zone, ok = position(zones, h.Site); !ok {
 					return 0, nil, fmt.Errorf("%ssite: %q is none of the settings' zones", at, h.Site)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -88,7 +88,7 @@
 		t.Errorf("%d %+v %v", last, events, err)
 	}
 	for from, to := range map[string]string{"s-00c41f7a": "00c41f7a", "10.1.0.9:8443": "10.1.0.9", `"east"`: `"nowhere"`,
-		`"std"`: `"other"`, "DRAINING": "ASLEEP", "7f3a": "xyza", `"pos":43,"entries"`: `"entries"`} {
+		`"std"`: `"other"`, "DRAINING": "ASLEEP", `"share":4`: `"share":1e300`, "7f3a": "xyza", `"pos":43,"entries"`: `"entries"`} {
 		if _, _, err := Known([]byte(strings.Replace(text, from, to, 1)), []string{"west", "east"}, []string{"std"}); err == nil ||
 			!strings.Contains(err.Error(), "known") {
 			t.Errorf("%s for %s: %v", to, from, err)
--- a/migrate/migrate.go
+++ b/migrate/migrate.go
@@ -185,35 +185,34 @@
 	return v, ok
 }
 
-// put sets a value, or takes the key out where the value is nil.
+// put sets a value, or takes the key out where the value is nil. A group that this leaves empty goes as well.
 func put(settings map[string]any, path string, value any) error {
-	in := settings
 	group, key, nested := strings.Cut(path, ".")
-	if nested {
-		if in[group] == nil && value == nil {
-			return nil
-		} else if in[group] == nil {
-			in[group] = map[string]any{}
-		}
-		inner, ok := in[group].(map[string]any)
-		if !ok {
-			return fmt.Errorf("settings.%s: an object is expected", group)
-		}
-		defer func() { // a group that the way back leaves empty was not there
-			if len(inner) == 0 {
-				delete(settings, group)
-			}
-		}()
-		in = inner
-	} else {
-		key = group
+	if !nested {
+		set(settings, group, value)
+		return nil
+	}
+	inner, ok := settings[group].(map[string]any)
+	if !ok && settings[group] != nil {
+		return fmt.Errorf("settings.%s: an object is expected", group)
 	}
+	if inner == nil {
+		inner = map[string]any{}
+	}
+	set(inner, key, value)
+	settings[group] = inner
+	if len(inner) == 0 {
+		delete(settings, group)
+	}
+	return nil
+}
+
+func set(in map[string]any, key string, value any) {
 	if value == nil {
 		delete(in, key)
 	} else {
 		in[key] = value
 	}
-	return nil
 }
 
 // notCarried lists what the new shape wants and the file does not hold, and what it holds that no decision reads.
