Each part of an object has its own home and pair of parents, so that hot objects jam no pair

From 7.5 s on two of 15 parents hold 165 and 123 fills with 81% and 73% of them over 0.4 s or withdrawn, while most others hold 30 to 60 with 10% to 25%; again at 20 s (176 and 118 fills, 86% and 72%; the rest near 1%). Ruled out: links of zones (all alike), the origin (waits 70 to 90 ms), dials (median 0.5 ms), cold start (0 s to 5 s: 97% in time). At fault: source sorts its pair by the object, so that all zones fill all parts of a hot object from two parents; a single director sees too little of it to spread it (1% to 3% of reqs were for objects it took to be hot). order, likewise, has all its parts at one cache. Change: Document, (object, part) where a vhost is in parts, stands where machines are ranked: pairs of parents, homes, shares, hot counts. follow's special case for parts goes. Idle parts are forgotten. Ranks are computed once a machine, not once a comparison. The planner asks by document too. Tests: TestPartsOfAnObjectLieAtAllCaches, TestWhatLeftIsForgotten.

--- a/control/chance.go
+++ b/control/chance.go
@@ -34,10 +34,22 @@
 // unit turns a hash into a number above 0 and below 1.
 func unit(h uint64) float64 { return (float64(h>>12) + 0.5) / (1 << 52) }
 
-// byHash ranks machines for an object, alike at every director, each first as often as its size has it.
-func byHash(obj uint64) func(a, b *node) int {
-	far := func(n *node) float64 { return -math.Log(unit(hash(obj, uint64(n.id)))) / n.size }
-	return func(a, b *node) int { return cmp.Compare(far(a), far(b)) }
+// ranked sorts machines for a document, alike at every director, each first as often as its size has it.
+func ranked(doc uint64, of []*node) []*node {
+	type place struct {
+		far float64
+		n   *node
+	}
+	places := make([]place, len(of))
+	for i, n := range of {
+		places[i] = place{-math.Log(unit(hash(doc, uint64(n.id)))) / n.size, n}
+	}
+	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(a.far, b.far) })
+	order := make([]*node, len(of))
+	for i, p := range places {
+		order[i] = p.n
+	}
+	return order
 }
 
 // Homes ranks machines for an object as every director does: its home comes first.
--- a/control/control.go
+++ b/control/control.go
@@ -89,9 +89,10 @@
 	r.patient = min(r.v.Aim, time.Duration(waitShare*float64(a.Deadline-now)))
 	d.reqs[r.id], d.tokens[r.token] = r, r
 	r.obj = d.object(a.Obj, a.Group)
-	r.part = r.obj.part(a.Part)
-	r.obj.asks.Add(now, 1)
+	r.part = r.obj.part(a.Part, r.v.InParts)
+	r.part.asks.Add(now, 1)
 	d.asks.Add(now, 1)
+	r.part.last = now
 	r.obj.seen, r.obj.last = r.obj.seen+1, now
 	d.again = min(againMost, d.again+againEach)
 	d.front.After(r.deadline-answerEarly-now, r.token)
@@ -100,8 +101,8 @@
 
 // route is the ordinary path of a req, and of each further dispatch of it.
 func (d *Director) route(now time.Duration, r *req) {
-	order := d.order(r.obj)
-	pick := d.follow(now, r, order)   // home, or another by the shares of a hot object
+	order := d.order(r.part)
+	pick := d.follow(r, order)        // home, or another by the shares of a hot object
 	c := d.guard(now, r, pick, order) // a stand-in where the pick is not fit
 	src, held := d.source(now, r)
 	passBy := c == nil && d.set.direct && !r.v.Write && d.origin != nil
@@ -134,43 +135,32 @@
 	d.send(now, r, x, o)
 }
 
-// order ranks the location's caches for an object by a hash that all directors share.
-func (d *Director) order(o *object) []*node {
-	if o.as != d.version {
-		o.as, o.order = d.version, slices.Clone(d.caches)
-		slices.SortFunc(o.order, byHash(o.id))
-		o.away = slices.DeleteFunc(o.away, func(s share) bool { return !s.n.ready || s.n == o.order[0] })
+// order ranks the location's caches for a document by a hash that all directors share. Of an object in parts each
+// part is a document of its own, since parts are asked for, filled and kept each by itself: what is hot then
+// lies at all caches at once, also where every director sees too little of it to tell.
+func (d *Director) order(p *part) []*node {
+	if p.as != d.version {
+		p.as, p.order = d.version, ranked(p.doc, d.caches)
+		p.away = slices.DeleteFunc(p.away, func(s share) bool { return !s.n.ready || s.n == p.order[0] })
 	}
-	return o.order
+	return p.order
 }
 
-// follow draws by the shares, weighted rendezvous style. A part of an object in parts draws the same
-// cache while shares stay, so that parts spread without a second fill; others draw by chance.
-func (d *Director) follow(now time.Duration, r *req, order []*node) *node {
+// follow draws by the shares, weighted rendezvous style.
+func (d *Director) follow(r *req, order []*node) *node {
 	if len(order) == 0 {
 		return nil
 	}
-	if len(r.obj.away) == 0 {
+	if len(r.part.away) == 0 {
 		return order[0]
 	}
-	if r.v.InParts { // a part stays where it is while that cache has a share at all
-		for _, h := range r.part.held {
-			if (h.n == order[0] || r.obj.awayAt(h.n) > 0) && d.holds(now, r, h.n) {
-				return h.n
-			}
-		}
-	}
-	salt := uint64(r.partNo) + 1
-	if !r.v.InParts {
-		salt = d.chance(r.id)
+	drawn, home := d.chance(r.id), 1-r.part.awayAt(nil)
+	far := func(n *node, part float64) float64 {
+		return math.Log(unit(hash(r.part.doc^drawn, uint64(n.id)))) / max(part, 1e-9)
 	}
-	home := 1.0
-	for _, s := range r.obj.away {
-		home -= s.part
-	}
-	best, most := order[0], math.Log(unit(hash(r.obj.id^salt<<20, uint64(order[0].id))))/max(home, 1e-9)
-	for _, s := range r.obj.away {
-		if at := math.Log(unit(hash(r.obj.id^salt<<20, uint64(s.n.id)))) / max(s.part, 1e-9); at > most {
+	best, most := order[0], far(order[0], home)
+	for _, s := range r.part.away {
+		if at := far(s.n, s.part); at > most {
 			best, most = s.n, at
 		}
 	}
@@ -300,7 +290,7 @@
 	if d.refused > refusedAt && unit(hash(d.identity, uint64(r.token), 2)) < d.refused {
 		held = true // most of it fails behind the parents: what they hold spares what is there
 	}
-	slices.SortFunc(fit, byHash(r.obj.id))
+	fit = ranked(r.part.doc, fit)                                               // by the part: those of a hot object would else jam one pair of many
 	slices.SortStableFunc(fit, func(a, b *node) int { return a.hops - b.hops }) // bytes count again for each hub
 	if len(fit) > 1 && fit[1].waits(now)*clearly < fit[0].waits(now) {
 		return fit[1], held
@@ -702,8 +692,8 @@
 	}
 	n.room, n.late, n.trial = room{most: min(n.room.most, 1)}, 0, true
 	n.bad, n.ok = NewRing(loadWidth, 2*loadBuckets), NewRing(loadWidth, 2*loadBuckets)
-	for _, o := range d.table {
-		o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.n == n })
+	for p := range d.parts() {
+		p.away = slices.DeleteFunc(p.away, func(s share) bool { return s.n == n })
 	}
 	for _, x := range slices.Clone(d.outs) {
 		if x.r.state == out && (x.node == n || x.source == n && !x.expectHit) && d.set.mayCancel &&
@@ -777,18 +767,22 @@
 	d.measure(now)
 	total := d.asks.Sum(now)
 	alpha := 1 / float64(2+len(d.caches)-1)
-	for _, o := range d.table {
-		if !Hot(o.asks.Sum(now), total) || len(d.order(o)) < 2 {
-			o.away = nil
-		} else if len(o.away) == 0 {
-			o.away = []share{{o.order[1], leastAway}}
+	var all []*part
+	for p := range d.parts() {
+		if !Hot(p.asks.Sum(now), total) || len(d.order(p)) < 2 {
+			p.away = nil
+			continue
+		}
+		if len(p.away) == 0 {
+			p.away = []share{{p.order[1], leastAway}}
 		}
+		all = append(all, p)
 	}
 	for _, home := range d.caches {
-		var hot []*object
-		for _, o := range d.table {
-			if len(o.away) > 0 && o.order[0] == home {
-				hot = append(hot, o)
+		var hot []*part
+		for _, p := range all {
+			if p.order[0] == home {
+				hot = append(hot, p)
 			}
 		}
 		for _, j := range d.caches {
@@ -803,10 +797,10 @@
 			noise := math.Sqrt(home.load.Sum(now)/h/h+j.load.Sum(now)/s/s) * both / home.load.Span().Seconds()
 			gap = alpha * math.Copysign(max(0, math.Abs(gap)-noiseTimes*noise), gap)
 			atHome, atJ := 0.0, 0.0
-			for _, o := range hot {
-				rate := o.asks.Rate(now)
-				atHome += rate * (1 - o.awayAt(nil))
-				atJ += rate * o.awayAt(j)
+			for _, p := range hot {
+				rate := p.asks.Rate(now)
+				atHome += rate * (1 - p.awayAt(nil))
+				atJ += rate * p.awayAt(j)
 			}
 			shift, at := min(atHome, gap), atHome
 			if gap < 0 {
@@ -815,23 +809,23 @@
 			if at <= 0 {
 				continue
 			}
-			for _, o := range hot {
-				o.shift(j, shift/at)
+			for _, p := range hot {
+				p.shift(j, shift/at)
 			}
 		}
 	}
 }
 
 // shift moves a part of what is at home to j, or back where it is below zero, and keeps the least away.
-func (o *object) shift(j *node, of float64) {
-	by := of * (1 - o.awayAt(nil))
+func (p *part) shift(j *node, of float64) {
+	by := of * (1 - p.awayAt(nil))
 	if of < 0 {
-		by = of * o.awayAt(j)
+		by = of * p.awayAt(j)
 	}
-	o.give(j, by)
-	o.away = slices.DeleteFunc(o.away, func(s share) bool { return s.part < leastShare })
-	if lack := leastAway - o.awayAt(nil); lack > 0 {
-		o.give(o.order[1], lack)
+	p.give(j, by)
+	p.away = slices.DeleteFunc(p.away, func(s share) bool { return s.part < leastShare })
+	if lack := leastAway - p.awayAt(nil); lack > 0 {
+		p.give(p.order[1], lack)
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -56,9 +56,10 @@
 }
 
 // hotWorld has one hot object of which each cache serves a stated number of reqs.
-func hotWorld(caches int, served map[int]int) (*world, *object) {
+func hotWorld(caches int, served map[int]int) (*world, *part) {
 	w := newWorld(1, caches)
-	o := w.d.object(5, 0)
+	w.d.object(5, 0).last = 2 * time.Second
+	o := w.d.object(5, 0).part(0, false)
 	o.last = 2 * time.Second
 	o.asks.Add(1900*ms, 200)
 	w.d.asks.Add(1900*ms, 400)
@@ -98,8 +99,8 @@
 	w := calm(t, 3)
 	w.manual = false
 	for i := range 120 {
-		w.ask(0, 9, uint32(i%12))
-		w.run(w.now + 20*ms)
+		w.ask(1, 9, 0)
+		w.run(w.now + time.Duration(20+i%2)*ms)
 	}
 	met := map[uint32]bool{}
 	for _, a := range w.asks {
@@ -110,6 +111,34 @@
 	w.blame(len(met) < 2, "a hot object met %d caches", len(met))
 }
 
+// Directors that see an object once each cannot tell that it is hot. Its parts must not jam one cache and one pair of
+// parents all the same, and all must send a part to the same place.
+func TestPartsOfAnObjectLieAtAllCaches(t *testing.T) {
+	caches, parents, again := map[uint32]int{}, map[uint32]int{}, 0
+	for part := range uint32(40) {
+		var at [2]Order
+		for i := range at { // two directors
+			w := calm(t, 4)
+			w.d.identity = uint64(100 + i)
+			w.ask(0, 9, part)
+			at[i] = w.last
+		}
+		if at[0].Node == at[1].Node && at[0].Source == at[1].Source {
+			again++
+		}
+		caches[at[0].Node]++
+		parents[at[0].Source]++
+	}
+	if len(caches) < 4 || len(parents) < 2 || again < 40 {
+		t.Errorf("parts at caches %v, filled from %v, %d of 40 alike at both directors", caches, parents, again)
+	}
+	for c, n := range caches {
+		if n > 20 {
+			t.Errorf("%d of 40 parts at cache %d", n, c)
+		}
+	}
+}
+
 func TestSourceIsTheQuickerParentElseTheOrigin(t *testing.T) {
 	w := calm(t, 3)
 	for _, quick := range []uint32{2, 3} {
@@ -235,9 +264,15 @@
 	}
 	w.blame(len(w.d.met) > 6+leftKept || len(w.d.nodes) != len(w.d.met), "%d machines on record", len(w.d.met))
 	for i := range uint32(3 * partsKept) {
-		w.d.object(5, 0).part(i)
+		w.d.object(5, 0).part(i, false)
 	}
 	w.blame(len(w.d.object(5, 0).parts) > partsKept, "%d parts", len(w.d.object(5, 0).parts))
+	for i := range uint32(100) { // a broadcast: the object lives on, its parts do not
+		w.ask(0, 6, i)
+		w.run(w.now + time.Second)
+	}
+	o := w.d.object(6, 0)
+	w.blame(len(o.parts) > 25 || len(o.list) != len(o.parts), "%d parts of a broadcast, %d listed", len(o.parts), len(o.list))
 }
 
 // A req waits behind a fill for less than half of its time: denied later it would have been better sent.
@@ -501,7 +536,7 @@
 		Listed{Node: 11, State: Ready, Zone: 1, Size: 6}, Listed{Node: 12, State: Ready, Zone: 1, Size: 4})
 	homes := map[uint32]float64{}
 	for obj := range uint64(3000) {
-		homes[w.d.order(w.d.object(obj+1, 0))[0].id]++
+		homes[w.d.order(w.d.object(obj+1, 0).part(0, false))[0].id]++
 	}
 	for id, want := range map[uint32]float64{10: 500, 11: 1500, 12: 1000} {
 		if math.Abs(homes[id]-want) > 0.15*want {
@@ -511,10 +546,10 @@
 	big, small := w.d.nodes[11], w.d.nodes[10]
 	small.out, big.out = 4, 4
 	r := &req{v: w.d.vhosts[0], obj: w.d.object(1, 0), part: &part{}}
-	if got := w.d.guard(0, r, big, w.d.order(r.obj)); got != big {
+	if got := w.d.guard(0, r, big, w.d.order(r.part)); got != big {
 		t.Errorf("the larger cache passes as crowded with as much as the smaller")
 	}
-	if got := w.d.guard(0, r, small, w.d.order(r.obj)); got == small {
+	if got := w.d.guard(0, r, small, w.d.order(r.part)); got == small {
 		t.Errorf("the smaller cache is not crowded with as much as the larger")
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -88,8 +89,8 @@
 }
 
 // awayAt is the share at one cache, or at all but the home.
-func (o *object) awayAt(j *node) (sum float64) {
-	for _, s := range o.away {
+func (p *part) awayAt(j *node) (sum float64) {
+	for _, s := range p.away {
 		if j == nil || s.n == j {
 			sum += s.part
 		}
@@ -130,8 +131,7 @@
 func (d *Director) object(id uint64, group uint32) *object {
 	o := d.objects[id]
 	if o == nil {
-		o = &object{id: id, group: group, asks: NewRing(loadWidth, 2*loadBuckets), as: -1,
-			parts: map[uint32]*part{}}
+		o = &object{id: id, group: group, parts: map[uint32]*part{}}
 		if len(d.table) >= tableSize {
 			delete(d.objects, d.table[0].id)
 			d.table = d.table[1:]
@@ -171,11 +171,11 @@
 func (d *Director) sized(r *req) bool { return r.kb > 0 || r.part.send > 0 }
 
 // give adds to the share of one cache.
-func (o *object) give(j *node, by float64) {
-	if at := slices.IndexFunc(o.away, func(s share) bool { return s.n == j }); at >= 0 {
-		o.away[at].part += by
+func (p *part) give(j *node, by float64) {
+	if at := slices.IndexFunc(p.away, func(s share) bool { return s.n == j }); at >= 0 {
+		p.away[at].part += by
 	} else {
-		o.away = append(o.away, share{j, by})
+		p.away = append(p.away, share{j, by})
 	}
 }
 
@@ -184,13 +184,20 @@
 	return slices.ContainsFunc(r.part.held, func(h copyAt) bool { return h.n != c && d.holds(now, r, h.n) })
 }
 
-// forget drops objects not asked for lately and purges that have settled.
+// forget drops objects and parts not asked for lately and purges that have settled.
 func (d *Director) forget(now time.Duration) {
 	d.table = slices.DeleteFunc(d.table, func(o *object) bool {
 		gone := now-o.last > forgetAfter
 		if gone {
 			delete(d.objects, o.id)
 		}
+		o.list = slices.DeleteFunc(o.list, func(p *part) bool { // of one that lives on, as broadcasts do
+			idle := now-p.last > forgetAfter
+			if idle {
+				delete(o.parts, p.no)
+			}
+			return idle
+		})
 		return gone
 	})
 	settled := now - d.set.purgeSettles - purgeMargin
@@ -328,18 +335,41 @@
 }
 
 // part finds or makes the record of a part; an object of more than any has begins anew.
-func (o *object) part(no uint32) *part {
+func (o *object) part(no uint32, inParts bool) *part {
 	p := o.parts[no]
 	if p == nil {
 		if len(o.parts) >= partsKept {
 			clear(o.parts)
+			o.list = nil
 		}
-		p = &part{}
-		o.parts[no] = p
+		p = &part{doc: Document(o.id, no, inParts), no: no, as: -1, asks: NewRing(loadWidth, 2*loadBuckets)}
+		o.parts[no], o.list = p, append(o.list, p)
 	}
 	return p
 }
 
+// Document is what stands for a part of an object wherever machines are ranked for it: of an object in parts
+// each part has a place of its own, else the object has.
+func Document(obj uint64, part uint32, inParts bool) uint64 {
+	if !inParts {
+		return obj
+	}
+	return hash(obj, uint64(part))
+}
+
+// parts goes through the parts of all objects, oldest first.
+func (d *Director) parts() iter.Seq[*part] {
+	return func(yield func(*part) bool) {
+		for _, o := range d.table {
+			for _, p := range o.list {
+				if !yield(p) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // others counts the caches but n that are not set aside.
 func (d *Director) others(now time.Duration, n *node) (count int) {
 	for _, c := range d.caches {
--- a/control/types.go
+++ b/control/types.go
@@ -225,14 +225,11 @@
 type object struct {
 	id    uint64
 	group uint32
-	asks  Ring
 	seen  int
 	last  time.Duration
-	order []*node       // the location's caches, home first
-	as    int           // the list's version that order is of
-	away  []share       // what of it goes to others than its home; home has the rest
 	send  time.Duration // smoothed sending time
 	parts map[uint32]*part
+	list  []*part // the same, oldest first
 }
 
 type copyAt struct {
@@ -240,7 +237,15 @@
 	at time.Duration
 }
 
+// part is the document of the paper: what is asked for, filled and kept by itself.
 type part struct {
+	doc     uint64 // its place among hashes, shared by all directors
+	no      uint32
+	asks    Ring
+	last    time.Duration
+	order   []*node   // the location's caches, home first
+	as      int       // the list's version that order is of
+	away    []share   // what of it goes to others than its home; home has the rest
 	filling *dispatch // a fill of ours that is under way
 	behind  []*req    // reqs that wait for it
 	held    []copyAt
--- a/plan/bounds.go
+++ b/plan/bounds.go
@@ -78,14 +78,14 @@
 	f, d := b.f, b.d
 	type place struct {
 		zone int
-		obj  uint64
+		doc  uint64
 	}
 	asks := map[place]float64{}
 	totals := make([]float64, len(f.Zones))
 	for i := range d.Reqs {
 		r := &d.Reqs[i]
 		z := f.Serving(int(r.Zone), nil)
-		asks[place{z, r.Obj}]++
+		asks[place{z, document(f, r)}]++
 		totals[z]++
 	}
 	share := func(z int) float64 { // of what a zone is asked that one director sees while objects are judged
@@ -109,12 +109,12 @@
 	for i := range d.Reqs {
 		r := &d.Reqs[i]
 		z := f.Serving(int(r.Zone), nil)
-		home := books[b.homes.home(z, r.Obj)]
+		home := books[b.homes.home(z, r)]
 		if home == nil {
 			continue
 		}
 		work := (home.kind.Each.Seconds() + float64(r.Bytes)/float64(home.kind.Pace)) / b.each.Seconds()
-		if len(zones[z]) > 1 && control.Hot(asks[place{z, r.Obj}]*share(z), totals[z]*share(z)) {
+		if len(zones[z]) > 1 && control.Hot(asks[place{z, document(f, r)}]*share(z), totals[z]*share(z)) {
 			hot[z][b.block(r)] += work
 			continue
 		}
@@ -159,7 +159,7 @@
 		bytes += float64(kind.Memory) * float64(kind.Number[b.f.Zones[z].Name])
 	}
 	type hot struct{ asks, bytes float64 }
-	objects := map[uint64]*hot{}
+	documents := map[uint64]*hot{}
 	seen := map[partKey]bool{}
 	total := 0.0
 	for i := range b.d.Reqs {
@@ -167,10 +167,10 @@
 		if b.f.Serving(int(r.Zone), nil) != z {
 			continue
 		}
-		o := objects[r.Obj]
+		o := documents[document(b.f, r)]
 		if o == nil {
 			o = &hot{}
-			objects[r.Obj] = o
+			documents[document(b.f, r)] = o
 		}
 		o.asks++
 		total++
@@ -181,7 +181,7 @@
 	}
 	share := control.HotSpan.Seconds() / b.d.Span.Seconds() * b.at / float64(max(1, b.f.Zones[z].Directors))
 	twice := 0.0
-	for _, o := range objects {
+	for _, o := range documents {
 		if control.Hot(o.asks*share, total*share) {
 			twice += o.bytes
 		}
@@ -256,7 +256,7 @@
 			continue
 		}
 		zone[z][t] += bytes
-		p := sources[b.homes.parent(z, r.Obj)]
+		p := sources[b.homes.parent(z, r)]
 		if p == nil {
 			p = origin
 		}
--- a/plan/homes.go
+++ b/plan/homes.go
@@ -5,8 +5,9 @@
 	"indigochute.example/indigochute/fleet"
 )
 
-// homes finds the machines that directors of a zone choose for an object when nothing stands in the way.
+// homes finds the machines that directors of a zone choose for a req when nothing stands in the way.
 type homes struct {
+	f       *fleet.Fleet
 	caches  [][]uint32 // by zone
 	parents [][]uint32 // by zone: those of the nearest hub
 	known   []map[uint64]uint32
@@ -14,7 +15,7 @@
 }
 
 func newHomes(f *fleet.Fleet) *homes {
-	h := &homes{caches: make([][]uint32, len(f.Zones)), parents: make([][]uint32, len(f.Zones)), known: make([]map[uint64]uint32, len(f.Zones)),
+	h := &homes{f: f, caches: make([][]uint32, len(f.Zones)), parents: make([][]uint32, len(f.Zones)), known: make([]map[uint64]uint32, len(f.Zones)),
 		above: make([]map[uint64]uint32, len(f.Zones))}
 	hubs := 0
 	for _, z := range f.Zones {
@@ -44,16 +45,25 @@
 	return h
 }
 
-func (h *homes) home(zone int, obj uint64) uint32 { return find(h.known[zone], h.caches[zone], obj) }
+func (h *homes) home(zone int, r *Req) uint32 {
+	return find(h.known[zone], h.caches[zone], document(h.f, r))
+}
 
 // parent is the one that is asked first; 0: the origin.
-func (h *homes) parent(zone int, obj uint64) uint32 { return find(h.above[zone], h.parents[zone], obj) }
+func (h *homes) parent(zone int, r *Req) uint32 {
+	return find(h.above[zone], h.parents[zone], document(h.f, r))
+}
+
+// document is what directors rank machines for.
+func document(f *fleet.Fleet, r *Req) uint64 {
+	return control.Document(r.Obj, r.Part, f.Vhosts[r.Vhost].Parts > 0)
+}
 
-func find(known map[uint64]uint32, ids []uint32, obj uint64) uint32 {
-	id, ok := known[obj]
+func find(known map[uint64]uint32, ids []uint32, doc uint64) uint32 {
+	id, ok := known[doc]
 	if !ok {
-		id = control.Home(obj, ids)
-		known[obj] = id
+		id = control.Home(doc, ids)
+		known[doc] = id
 	}
 	return id
 }
--- a/plan/loss.go
+++ b/plan/loss.go
@@ -293,7 +293,7 @@
 		bytes[z] += float64(r.Bytes)
 		if k := (partKey{r.Obj, r.Part}); !seen[k] {
 			seen[k] = true
-			held[homes.home(z, r.Obj)] += float64(r.Bytes)
+			held[homes.home(z, r)] += float64(r.Bytes)
 		}
 	}
 	for _, m := range caches {
--- a/plan/play.go
+++ b/plan/play.go
@@ -148,10 +148,10 @@
 			}
 		}
 		born[k] = at
-		if home := zones.home(z, r.Obj); home != 0 {
+		if home := zones.home(z, r); home != 0 {
 			copies = append(copies, Copy{home, r.Obj, r.Part, int(r.Bytes), rank, at})
 		}
-		if p := zones.parent(z, r.Obj); p != 0 {
+		if p := zones.parent(z, r); p != 0 {
 			copies = append(copies, Copy{p, r.Obj, r.Part, int(r.Bytes), 2, at})
 		}
 	}
