A fill that is overdue tells of its source's pace at once, not when it ends

At fault: learn, which renews wait on Done alone. Change: overdue raises wait to the time that the fill is out. It fades as before (half in 3 s). Test: TestOverdueFillSendsTheNextToTheOtherParent. TestHitsOfUnknownCopies names its own room.

--- a/control/control.go
+++ b/control/control.go
@@ -736,6 +736,9 @@
 	x.node.late++
 	if !x.expectHit && x.source.role != cache {
 		x.source.late++
+		if w := now - x.at; float64(w) > x.source.waits(now) { // a director of many has few answers of each
+			x.source.wait, x.source.waitAt = w, now
+		}
 		if x.source.silent(now) {
 			d.setAside(now, x.source)
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -153,6 +153,22 @@
 	}
 }
 
+// A fill that is overdue tells of its source at once: others that would choose it next go to the second of their pair.
+func TestOverdueFillSendsTheNextToTheOtherParent(t *testing.T) {
+	w := calm(t, 3)
+	w.ask(0, 1, 0)
+	slow := w.last.Source
+	if from := w.sources(100, 20); from[slow] == 0 {
+		t.Fatalf("fills by source %v before anything is known", from)
+	}
+	w = calm(t, 3)
+	w.ask(0, 1, 0)
+	w.run(w.now + mostWait + 10*ms)
+	if from := w.sources(100, 20); from[slow] != 0 {
+		t.Errorf("fills by source %v, %d is overdue with one", from, slow)
+	}
+}
+
 // A parent whose link is slow sends its first byte in time: the whole fill must tell.
 func TestSlowLinkOfAParentCountsAsFillLatency(t *testing.T) {
 	w := calm(t, 3)
@@ -168,12 +184,12 @@
 // A director that knows no copies, as after its start, learns that most of what it asks caches for is held there: such
 // dispatches take little of the room for fills.
 func TestHitsOfUnknownCopiesLeaveRoomForFills(t *testing.T) {
-	for fill, want := range map[Fill]int{Hit: 60, Filled: linkAtStart * 2} {
+	for fill, want := range map[Fill]int{Hit: 60, Filled: 48} {
 		w := calm(t, 4)
 		for obj := range uint64(60) {
 			w.serve(0, 1000+obj, 100*ms, Outcome{Fill: fill})
 		}
-		w.d.linkRoom = room{most: linkAtStart, known: true}
+		w.d.linkRoom = room{most: 24, known: true}
 		for obj := range uint64(60) {
 			w.ask(0, 2000+obj, 0)
 		}
