Rooms for fills start at half, so that a fleet's first guess is no jam; a benchmark of a req

The late answers that would narrow a room come seconds after what made them late, so a guess that is four times too wide is first tried by all directors together. At fault: linkAtStart, 24 a director of a location alone, and a quarter of it however many share the location. Rooms still grow with each timely answer until the first late one. Benchmark: a req with its answer and its share of diffusion takes 4 us with 4 caches at a location, 42 us with 200, whether 1, 20 or 300 directors share it.

--- /dev/null
+++ b/control/bench_test.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// nobody is a Front that answers nothing by itself.
+type nobody struct{ last Order }
+
+func (f *nobody) Dispatch(_ uint32, o Order)         { f.last = o }
+func (f *nobody) Cancel(uint32, int)                 {}
+func (f *nobody) Deny(uint32, time.Duration)         {}
+func (f *nobody) Abort(uint32)                       {}
+func (f *nobody) After(wait time.Duration, _ uint32) {}
+func (f *nobody) Probe(uint32)                       {}
+
+// BenchmarkReq is a req from its coming to its answer, with the period's share of diffusion, at 100 reqs a second for
+// objects of which half are new.
+func BenchmarkReq(b *testing.B) {
+	for _, directors := range []int{1, 20, 300} {
+		for _, caches := range []int{4, 200} {
+			b.Run(fmt.Sprintf("directors=%d/caches=%d", directors, caches), func(b *testing.B) {
+				set := settings0()
+				set.Directors, set.Here = directors, directors
+				f := &nobody{}
+				d := Start(set, f)
+				list := []Listed{{Node: 1, State: Ready, Kind: 2}, {Node: 2, State: Ready, Kind: 1}, {Node: 3, State: Ready, Kind: 1}}
+				for i := range caches {
+					list = append(list, Listed{Node: uint32(10 + i), State: Ready, Zone: 1})
+				}
+				d.List(0, list, true)
+				now := time.Duration(0)
+				b.ReportAllocs()
+				for i := range b.N {
+					id := uint32(i + 1)
+					d.Req(now, Ask{ID: id, Obj: uint64(i / 2), Part: uint32(i % 2), Deadline: now + 4*time.Second})
+					d.Outcome(now+5*ms, id, Outcome{Took: 5 * ms, Fill: Hit, Final: true})
+					if now += 10 * ms; i%50 == 0 {
+						d.Timer(now, 0)
+					}
+				}
+			})
+		}
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -37,7 +37,7 @@
 
 	// Rooms are those of a location's only director; each of many has its part, below one a chance.
 	roomAtStart = 12   // dispatches out at a machine, until its answers tell more
-	linkAtStart = 24   // fills out through the location's link, likewise; and at a parent
+	linkAtStart = 12   // fills out through the location's link, likewise; and at a parent
 	partAtStart = 0.25 // of either, however many share it: few dispatches come unevenly
 	roomLeast   = 2    // so that there is always something to learn from
 	roomQuick   = 8    // below it each timely answer makes room for one more
