Hot from four reqs for a document, and half of it away: hot objects stand out again

At fault: leastHot, eight because one viewer made as many reqs for an object in parts; for one part he makes one. And leastAway, a quarter, though the two caches of a hot document carry alike. Change: four, and half.

--- a/control/control.go
+++ b/control/control.go
@@ -14,10 +14,10 @@
 	period      = 500 * time.Millisecond // of diffusion: some reqs of each cache fall into one
 	loadWidth   = 500 * time.Millisecond // L is counted over loadBuckets of these: long against
 	loadBuckets = 4                      // single reqs, short against a hot object's stay
-	hotShare    = 0.04                   // of a director's reqs, and
-	leastHot    = 8                      // reqs for it meanwhile: one viewer of an object in parts makes as many
+	hotShare    = 0.04                   // of a director's reqs for one document, and
+	leastHot    = 4                      // reqs for it meanwhile, each of another viewer or repeated
 	noiseTimes  = 2                      // deviations of the counts that a gap must exceed to shift
-	leastAway   = 0.25                   // of a hot object, outside its home whatever the gap
+	leastAway   = 0.5                    // of a hot document, outside its home whatever the gap: two carry alike
 	leastShare  = 0.01                   // a share below it goes back
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
