A fill that failed for its source narrows no room of its cache, which is asked again

Caches answer "full" with the note that the source was not reached, after 46 ms: 1,377 in half a second at the worst, 6,700 in all. 20% to 22% of the value of 5 s to 15 s is denied without any dispatch, as no cache has room: rooms of caches fall to 1.3 of 3.7 (a tenth of them to 0.7) though hits take as long as before, and 39% of the reqs leave their home for that. Ruled out: caches that are full (next to none say so without that note), strain (0.1%), cold budgets. At fault: crowding, where every Full narrows the cache's room, and tried, which holds such a dispatch against the cache, so that the next goes to one that is not the home. Change: learn marks the dispatch as no fault of its machine, as for lost answers. A source that refused loses room in the cache's stead. Test: TestFailedSourceSparesTheCache.

--- a/control/control.go
+++ b/control/control.go
@@ -485,7 +485,11 @@
 		}
 	case fillBad:
 		c.alive(now)
+		x.lost = true // the cache is well: it may be asked again, with another source, and has the room that it had
 		if s.role != cache {
+			if o.Fill == SourceRefused {
+				d.adapt(&s.room, s.out, false, 1)
+			}
 			s.bad.Add(now, 1)
 			d.judge(now, s)
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -599,6 +599,25 @@
 	}
 }
 
+// A fill that failed for its source says nothing against the cache: it keeps its room, and is asked again with another
+// source, where the copy belongs.
+func TestFailedSourceSparesTheCache(t *testing.T) {
+	for _, fill := range []Fill{SourceRefused, SourceUnreached} {
+		w := calm(t, 4)
+		a := w.asks[w.ask(0, 1, 0)]
+		home, source := w.d.nodes[w.last.Node], w.last.Source
+		room, above := home.room.most, w.d.nodes[source].room.most
+		w.run(w.now + 40*ms)
+		w.end(a.ID, Outcome{Ending: Full, Fill: fill})
+		if len(a.tries) != 2 || w.last.Node != home.id || w.last.Source == source {
+			t.Errorf("fill %d: %d dispatches, the last to %d from %d; the first to %d from %d", fill, len(a.tries), w.last.Node, w.last.Source, home.id, source)
+		}
+		if home.room.most != room || (w.d.nodes[source].room.most < above) != (fill == SourceRefused) {
+			t.Errorf("fill %d: room %.1f of %.1f at the cache, %.1f of %.1f at the source", fill, home.room.most, room, w.d.nodes[source].room.most, above)
+		}
+	}
+}
+
 // Where fills may be joined every dispatch says so; elsewhere none does.
 func TestFillsAreJoinedWhereThatIsAllowed(t *testing.T) {
 	for _, joins := range []bool{false, true} {
--- a/control/types.go
+++ b/control/types.go
@@ -291,7 +291,7 @@
 	fill        float64 // how probably it fills
 	late, over  bool
 	held        bool // of its source only what it holds
-	lost        bool // overdue while its machine answered others
+	lost        bool // for no fault of its machine: an answer lost while others came, a source that failed
 }
 
 type vhost struct {
