Rooms at the start are shared in full, three at the least; a lone director keeps its own

The test's premise is right: a lone director has nobody to share with, so its room need not shrink. At fault: the change of linkAtStart, where what was too wide is partAtStart, a quarter of a lone director's room however many share it. Change: linkAtStart is 24 again; a start is the director's share, three at the least (soloAtStart), in place of a quarter: 24 for one, 6 for four, 3 for eight and more. Tests: TestRoomAtStartIsShared, TestServeCaptures.

--- a/control/control.go
+++ b/control/control.go
@@ -37,8 +37,8 @@
 
 	// Rooms are those of a location's only director; each of many has its part, below one a chance.
 	roomAtStart = 12   // dispatches out at a machine, until its answers tell more
-	linkAtStart = 12   // fills out through the location's link, likewise; and at a parent
-	partAtStart = 0.25 // of either, however many share it: few dispatches come unevenly
+	linkAtStart = 24   // fills out through the location's link, likewise; and at a parent
+	soloAtStart = 3    // of either at least, however many share it: few dispatches come unevenly
 	roomLeast   = 2    // so that there is always something to learn from
 	roomQuick   = 8    // below it each timely answer makes room for one more
 	roomFalls   = 0.25 // of a room, at most one, that a late answer takes where many share
@@ -637,7 +637,7 @@
 }
 
 // atStart is this director's part of a starting room.
-func (d *Director) atStart(room float64) float64 { return room * max(partAtStart, 1/d.set.here) }
+func (d *Director) atStart(room float64) float64 { return max(soloAtStart, room/d.set.here) }
 
 // adapt makes room for one more where answers come in time, quickly from little and until the first late one,
 // and takes one away for each that is late or turned away. Guards against overload, slow machines and a full
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -203,6 +203,18 @@
 	}
 }
 
+// A lone director starts with a link's room, as empty caches have to be filled; of many none has so much that all together
+// jam what they fill from before the first late answer comes.
+func TestRoomAtStartIsShared(t *testing.T) {
+	for here, want := range map[int]float64{1: linkAtStart, 4: linkAtStart / 4, 12: soloAtStart, 300: soloAtStart} {
+		set := settings0()
+		set.Here = here
+		if got := Start(set, newWorld(1, 1)).linkRoom.most; got != want {
+			t.Errorf("%d directors: room for %.2f fills, want %.2f", here, got, want)
+		}
+	}
+}
+
 // What a director may ask for is a guess after its start: room grows by one with each timely answer until the first late
 // one, by far less from then on.
 func TestRoomGrowsQuicklyUntilTheFirstLateAnswer(t *testing.T) {
