Parts on record are bounded over all objects, as each has a ring and a rank of caches now

Seen on reading the change: an object's 512 parts times 8,192 objects were the only bound, and a part holds some 300 bytes now; a client that makes up parts of many objects could have a director of 32 MB keep far more than that until they fade. Change: 32,768 in all, beyond that the oldest object is forgotten, as in a full table; one function forgets it in both cases. Test: TestWhatLeftIsForgotten counts all parts after a flood.

--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,8 @@
 	keepFor     = 8 * time.Second        // a copy seen this lately is taken to be there still
 	forgetAfter = 20 * time.Second       // an object not asked for this long leaves the table
 	tableSize   = 8192                   // objects: minutes of reqs
-	partsKept   = 512                    // of one object
+	partsKept   = 512                    // of one object,
+	partsInAll  = 4 * tableSize          // and of all: some 10 MB
 	leftKept    = 32                     // machines that left the list
 	purgeMargin = time.Second            // a purge is kept in mind this much longer than it lasts
 
@@ -89,7 +90,7 @@
 	r.patient = min(r.v.Aim, time.Duration(waitShare*float64(a.Deadline-now)))
 	d.reqs[r.id], d.tokens[r.token] = r, r
 	r.obj = d.object(a.Obj, a.Group)
-	r.part = r.obj.part(a.Part, r.v.InParts)
+	r.part = d.part(r.obj, a.Part, r.v.InParts)
 	r.part.asks.Add(now, 1)
 	d.asks.Add(now, 1)
 	r.part.last = now
@@ -135,9 +136,9 @@
 	d.send(now, r, x, o)
 }
 
-// order ranks the location's caches for a document by a hash that all directors share. Of an object in parts each
-// part is a document of its own, since parts are asked for, filled and kept each by itself: what is hot then
-// lies at all caches at once, also where every director sees too little of it to tell.
+// order ranks the location's caches for a document by a hash that all directors share. Of an object in parts
+// each part is one, since it is asked for, filled and kept by itself: what is hot then lies at all caches at
+// once, also where every director sees too little of it to tell.
 func (d *Director) order(p *part) []*node {
 	if p.as != d.version {
 		p.as, p.order = d.version, ranked(p.doc, d.caches)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -59,7 +59,7 @@
 func hotWorld(caches int, served map[int]int) (*world, *part) {
 	w := newWorld(1, caches)
 	w.d.object(5, 0).last = 2 * time.Second
-	o := w.d.object(5, 0).part(0, false)
+	o := w.d.part(w.d.object(5, 0), 0, false)
 	o.last = 2 * time.Second
 	o.asks.Add(1900*ms, 200)
 	w.d.asks.Add(1900*ms, 400)
@@ -292,7 +292,7 @@
 	}
 	w.blame(len(w.d.met) > 6+leftKept || len(w.d.nodes) != len(w.d.met), "%d machines on record", len(w.d.met))
 	for i := range uint32(3 * partsKept) {
-		w.d.object(5, 0).part(i, false)
+		w.d.part(w.d.object(5, 0), i, false)
 	}
 	w.blame(len(w.d.object(5, 0).parts) > partsKept, "%d parts", len(w.d.object(5, 0).parts))
 	for i := range uint32(100) { // a broadcast: the object lives on, its parts do not
@@ -301,6 +301,16 @@
 	}
 	o := w.d.object(6, 0)
 	w.blame(len(o.parts) > 25 || len(o.list) != len(o.parts), "%d parts of a broadcast, %d listed", len(o.parts), len(o.list))
+	for obj := range uint64(partsInAll / partsKept * 2) {
+		for i := range uint32(partsKept) {
+			w.d.part(w.d.object(100+obj, 0), i, true)
+		}
+	}
+	kept := 0
+	for range w.d.parts() {
+		kept++
+	}
+	w.blame(kept > partsInAll || kept != w.d.partCount, "%d parts in all, %d counted", kept, w.d.partCount)
 }
 
 // A req waits behind a fill for less than half of its time: denied later it would have been better sent.
@@ -564,7 +574,7 @@
 		Listed{Node: 11, State: Ready, Zone: 1, Size: 6}, Listed{Node: 12, State: Ready, Zone: 1, Size: 4})
 	homes := map[uint32]float64{}
 	for obj := range uint64(3000) {
-		homes[w.d.order(w.d.object(obj+1, 0).part(0, false))[0].id]++
+		homes[w.d.order(w.d.part(w.d.object(obj+1, 0), 0, false))[0].id]++
 	}
 	for id, want := range map[uint32]float64{10: 500, 11: 1500, 12: 1000} {
 		if math.Abs(homes[id]-want) > 0.15*want {
--- a/control/state.go
+++ b/control/state.go
@@ -133,8 +133,7 @@
 	if o == nil {
 		o = &object{id: id, group: group, parts: map[uint32]*part{}}
 		if len(d.table) >= tableSize {
-			delete(d.objects, d.table[0].id)
-			d.table = d.table[1:]
+			d.oldest()
 		}
 		d.objects[id], d.table = o, append(d.table, o)
 	}
@@ -187,17 +186,19 @@
 // forget drops objects and parts not asked for lately and purges that have settled.
 func (d *Director) forget(now time.Duration) {
 	d.table = slices.DeleteFunc(d.table, func(o *object) bool {
-		gone := now-o.last > forgetAfter
-		if gone {
-			delete(d.objects, o.id)
-		}
-		o.list = slices.DeleteFunc(o.list, func(p *part) bool { // of one that lives on, as broadcasts do
+		o.list = slices.DeleteFunc(o.list, func(p *part) bool { // also of one that lives on, as broadcasts do
 			idle := now-p.last > forgetAfter
 			if idle {
 				delete(o.parts, p.no)
+				d.partCount--
 			}
 			return idle
 		})
+		gone := now-o.last > forgetAfter
+		if gone {
+			delete(d.objects, o.id)
+			d.partCount -= len(o.list)
+		}
 		return gone
 	})
 	settled := now - d.set.purgeSettles - purgeMargin
@@ -334,20 +335,34 @@
 	return min(r.v.Timeout, r.v.Aim+time.Duration(r.v.Stretch*float64(d.expected(r))))
 }
 
-// part finds or makes the record of a part; an object of more than any has begins anew.
-func (o *object) part(no uint32, inParts bool) *part {
+// part finds or makes the record of a part; an object of more than any has begins anew, and where all objects have
+// too many the oldest is forgotten. Guards against clients that make up parts.
+func (d *Director) part(o *object, no uint32, inParts bool) *part {
 	p := o.parts[no]
 	if p == nil {
 		if len(o.parts) >= partsKept {
+			d.partCount -= len(o.list)
 			clear(o.parts)
 			o.list = nil
 		}
+		for d.partCount >= partsInAll && d.table[0] != o {
+			d.oldest()
+		}
 		p = &part{doc: Document(o.id, no, inParts), no: no, as: -1, asks: NewRing(loadWidth, 2*loadBuckets)}
 		o.parts[no], o.list = p, append(o.list, p)
+		d.partCount++
 	}
 	return p
 }
 
+// oldest forgets the object met first.
+func (d *Director) oldest() {
+	o := d.table[0]
+	delete(d.objects, o.id)
+	d.partCount -= len(o.list)
+	d.table = d.table[1:]
+}
+
 // Document is what stands for a part of an object wherever machines are ranked for it: of an object in parts
 // each part has a place of its own, else the object has.
 func Document(obj uint64, part uint32, inParts bool) uint64 {
--- a/control/types.go
+++ b/control/types.go
@@ -314,6 +314,7 @@
 	version           int
 	objects           map[uint64]*object
 	table             []*object // the same, oldest first
+	partCount         int       // of all their parts
 	reqs              map[uint32]*req
 	tokens            map[uint32]*req
 	lastToken         uint32
