--- a/cmd/indigochute/measure.go
+++ b/cmd/indigochute/measure.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"indigochute.example/indigochute/plan"
-	"indigochute.example/indigochute/standin"
+	"indigochute.example/indigochute/lab/standin"
 )
 
 // measured is what plan measure prints.
--- a/cmd/indigochute/plan_test.go
+++ b/cmd/indigochute/plan_test.go
@@ -14,7 +14,7 @@
 	"indigochute.example/indigochute/capture"
 	"indigochute.example/indigochute/fleet"
 	"indigochute.example/indigochute/plan"
-	"indigochute.example/indigochute/standin"
+	"indigochute.example/indigochute/lab/standin"
 )
 
 const smallFleet, smallCapture = "../../examples/plan/small.yaml", "../../examples/plan/small.capture"
--- a/cmd/indigochute/rehearse.go
+++ b/cmd/indigochute/rehearse.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"indigochute.example/indigochute/rehearse"
+	"indigochute.example/indigochute/lab/rehearse"
 )
 
 func rehearseCommand() *cobra.Command {
--- a/cmd/indigochute/stand.go
+++ b/cmd/indigochute/stand.go
@@ -16,7 +16,7 @@
 	"indigochute.example/indigochute/director"
 	"indigochute.example/indigochute/fleet"
 	"indigochute.example/indigochute/plan"
-	"indigochute.example/indigochute/standin"
+	"indigochute.example/indigochute/lab/standin"
 )
 
 func standCommand(log *logging) *cobra.Command {
--- a/rehearse/plan.go
+++ b/lab/rehearse/plan.go
@@ -10,7 +10,7 @@
 	"indigochute.example/indigochute/director"
 	"indigochute.example/indigochute/fleet"
 	"indigochute.example/indigochute/plan"
-	"indigochute.example/indigochute/standin"
+	"indigochute.example/indigochute/lab/standin"
 )
 
 // planFleet is small and slow, so that a shared machine carries it easily.
