peer: talk between directors, bounded, each message bound to a life of either end

Needed: duties, overload as one fleet and replicas all rest on directors that talk. Frames of bounded length on the msgpack codec, a hello with version, name and incarnation, queues bounded by count and bytes, jittered redial, pings that find silent ways in 1.6 s. Whoever hangs, floods or writes nonsense costs only its own connection; a clock that went back over a restart locks nobody out.

Shown by tests on loopback: 64 connections that hang, a flood, an unlisted name, another version, an old life, a frame of 2 GB announced, and meanwhile every message of a listed peer heard within a second. Linked into nothing yet.

--- /dev/null
+++ b/peer/ask.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Ask puts a question to whoever listens at an address, a director's bus or a Desk, and returns the answer. It takes
+// no longer than within. Anybody on the network may ask; answers must tell nothing that is not for all to know.
+func Ask(addr, topic string, payload []byte, within time.Duration) ([]byte, error) {
+	until := time.Now().Add(within)
+	nc, err := (&net.Dialer{Deadline: until}).Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer nc.Close()
+	nc.SetDeadline(until)
+	q := frame{kind: ask, version: version, topic: topic, payload: payload}
+	if _, err := nc.Write(q.append(nil)); err != nil {
+		return nil, err
+	}
+	f, err := read(bufio.NewReader(nc), mostFrame)
+	switch {
+	case err != nil:
+		return nil, err
+	case f.kind != answer:
+		return nil, errFrame
+	case !f.ok:
+		return nil, fmt.Errorf("peer: %s answers: %s", addr, f.payload)
+	}
+	return f.payload, nil
+}
+
+// Answers tell what is answered to a question of each topic. They must not block for long.
+type Answers map[string]func(payload []byte) ([]byte, error)
+
+// reply answers one question and leaves the connection to its caller.
+func (a Answers) reply(nc net.Conn, q *frame) error {
+	f := frame{kind: answer}
+	var err error
+	switch do := a[q.topic]; {
+	case q.version != version:
+		err = errVersion
+	case do == nil:
+		err = fmt.Errorf("nothing is known of %q here", q.topic)
+	default:
+		f.payload, err = do(q.payload)
+	}
+	if f.ok = err == nil; !f.ok {
+		f.payload = []byte(err.Error())
+	}
+	nc.SetWriteDeadline(time.Now().Add(greetWithin))
+	_, err = nc.Write(f.append(nil))
+	return err
+}
+
+// Desk answers questions and does nothing else: for stand-ins of what duties act on.
+type Desk struct {
+	l net.Listener
+	a Answers
+}
+
+// OpenDesk listens at an address until Close.
+func OpenDesk(addr string, a Answers) (*Desk, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	d := &Desk{l, a}
+	places := make(chan struct{}, mostStrangers)
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			places <- struct{}{}
+			go func() {
+				defer func() { nc.Close(); <-places }()
+				nc.SetReadDeadline(time.Now().Add(greetWithin))
+				if f, err := read(bufio.NewReader(nc), mostAsk); err == nil && f.kind == ask {
+					a.reply(nc, &f)
+				}
+			}()
+		}
+	}()
+	return d, nil
+}
+
+// Addr is where it listens.
+func (d *Desk) Addr() string { return d.l.Addr().String() }
+
+// Close ends it.
+func (d *Desk) Close() error { return d.l.Close() }
--- /dev/null
+++ b/peer/bus.go
@@ -0,0 +1,397 @@
+// Package peer is the talk between directors over TCP: short messages by topic, from any instance that the operator
+// file lists to any other, in frames of bounded length. It knows nothing of what they are about.
+//
+// Each instance dials every other and writes its own messages there; what it hears comes on connections that the others
+// dialled. A message is lost where its way is down for long, its queue is full or either end starts anew: whoever needs
+// more must repeat it. It may come late, but never to or from another life of an instance than it was meant for: every
+// frame carries the incarnations of both ends.
+//
+// There is no TLS and no sign-in: names are believed. It is for closed networks only.
+package peer
+
+import (
+	"bufio"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Bounds of what connections cost.
+const (
+	greetWithin   = 2 * time.Second // a stranger must have said who it is
+	mostStrangers = 32              // of those; one more puts the oldest out
+	perPeer       = 2               // connections that one name may have here; one more puts the oldest out
+	mostQueued    = 4096            // messages waiting for one peer,
+	mostBytes     = 4 << 20         // and their bytes; the oldest go
+	mostRate      = 2000            // frames a second that are read of one peer,
+	mostBytesRate = 16 << 20        // and bytes; it waits for more, nobody else does
+)
+
+// Times of a link.
+const (
+	pingEach   = 400 * time.Millisecond
+	silentFor  = 1600 * time.Millisecond // without a word on a connection: it is given up and dialled anew
+	dialWithin = time.Second
+	againLeast = 50 * time.Millisecond // before dialling anew, doubled each time, with a part by chance
+	againMost  = time.Second
+)
+
+// From says who a message is from, and in which of its lives.
+type From struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Options of a bus.
+type Options struct {
+	Me     string
+	Listen string            // address; with port 0 any free one
+	Peers  map[string]string // addresses by name, of the others
+	Log    *logrus.Entry
+	// Heard takes a topic's messages, in a goroutine of their sender's connection: it may not block for long.
+	Heard map[string]func(from From, payload []byte)
+	// Answers are what anybody may ask.
+	Answers Answers
+}
+
+// Bus is one instance's end of the talk.
+type Bus struct {
+	o    Options
+	l    net.Listener
+	stop chan struct{}
+	all  sync.WaitGroup
+
+	incarnation atomic.Uint64
+
+	mu     sync.Mutex
+	links  map[string]*link
+	known  map[string]uint64 // highest incarnation by name; of listed names only
+	in     map[string][]*inbound
+	greets []*inbound // strangers, oldest first
+	counts Counts
+}
+
+// Counts of what a bus refused and lost since its start.
+type Counts struct {
+	Unlisted int `json:"unlisted"`  // hellos under a name that the operator file lacks
+	OldLife  int `json:"old_life"`  // hellos and messages from or to an earlier life of an instance
+	Nonsense int `json:"nonsense"`  // frames that cannot be read, or of another version
+	Strange  int `json:"strange"`   // messages of topics that nobody here listens to
+	PutOut   int `json:"put_out"`   // connections closed for want of a place
+	TwoOfMe  int `json:"two_of_me"` // times that another life of this instance was said to be newer
+}
+
+// inbound is a connection that another dialled.
+type inbound struct {
+	b    *Bus
+	nc   net.Conn
+	from From
+}
+
+// Open listens and begins to dial.
+func Open(o Options) (*Bus, error) {
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, err
+	}
+	b := &Bus{o: o, l: l, stop: make(chan struct{}), links: map[string]*link{}, known: map[string]uint64{}, in: map[string][]*inbound{}}
+	// Later lives count higher, as far as the wall clock goes on; where it went back, the others say so in the hello.
+	b.incarnation.Store(uint64(time.Now().UnixMilli())<<16 | uint64(os.Getpid()&0xffff))
+	b.List(o.Peers)
+	b.all.Go(b.accept)
+	return b, nil
+}
+
+// Addr is where it listens.
+func (b *Bus) Addr() string { return b.l.Addr().String() }
+
+// Incarnation is that of this instance's present life.
+func (b *Bus) Incarnation() uint64 { return b.incarnation.Load() }
+
+// Close ends every connection and waits for the goroutines.
+func (b *Bus) Close() {
+	close(b.stop)
+	b.l.Close()
+	b.mu.Lock()
+	for _, c := range b.inbounds() {
+		c.nc.Close()
+	}
+	for _, k := range b.links {
+		k.end()
+	}
+	b.mu.Unlock()
+	b.all.Wait()
+}
+
+// inbounds lists every connection that another dialled. Called under the lock.
+func (b *Bus) inbounds() (all []*inbound) {
+	for _, name := range slices.Sorted(maps.Keys(b.in)) {
+		all = append(all, b.in[name]...)
+	}
+	return append(all, b.greets...)
+}
+
+// List says anew who the others are and where. Links to addresses that stay are not touched.
+func (b *Bus) List(peers map[string]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, k := range b.links {
+		if peers[name] != k.addr {
+			k.end()
+			delete(b.links, name)
+		}
+	}
+	for name, list := range b.in {
+		if _, listed := peers[name]; !listed {
+			for _, c := range list {
+				c.nc.Close()
+			}
+		}
+	}
+	for name, addr := range peers {
+		if b.links[name] == nil && name != b.o.Me {
+			k := &link{b: b, name: name, addr: addr, wake: make(chan struct{}, 1), over: make(chan struct{})}
+			b.links[name] = k
+			b.all.Go(k.run)
+		}
+	}
+}
+
+// Send puts a message in the queue for one peer. False: nobody of that name is listed, or the message is too long.
+func (b *Bus) Send(to, topic string, payload []byte) bool {
+	b.mu.Lock()
+	k := b.links[to]
+	b.mu.Unlock()
+	if k == nil || len(payload) > MostPayload {
+		return false
+	}
+	k.push(message{topic, payload})
+	return true
+}
+
+// All puts a message in the queue for every peer.
+func (b *Bus) All(topic string, payload []byte) {
+	b.mu.Lock()
+	names := slices.Sorted(maps.Keys(b.links))
+	b.mu.Unlock()
+	for _, name := range names {
+		b.Send(name, topic, payload)
+	}
+}
+
+// Status is what a bus tells of itself.
+type Status struct {
+	Name        string       `json:"name"`
+	Incarnation uint64       `json:"incarnation"`
+	Links       []LinkStatus `json:"links"`
+	Counts      Counts       `json:"refused"`
+}
+
+// Status tells how each link is.
+func (b *Bus) Status() Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Status{Name: b.o.Me, Incarnation: b.Incarnation(), Counts: b.counts, Links: []LinkStatus{}}
+	for _, k := range b.links {
+		s.Links = append(s.Links, k.status(len(b.in[k.name])))
+	}
+	slices.SortFunc(s.Links, func(x, y LinkStatus) int { return cmp.Compare(x.Name, y.Name) })
+	return s
+}
+
+func (b *Bus) count(what func(c *Counts)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	what(&b.counts)
+}
+
+// unread counts what could be no frame, but not that a connection ended.
+func (b *Bus) unread(err error) {
+	var broken net.Error
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &broken) {
+		b.count(func(c *Counts) { c.Nonsense++ })
+	}
+}
+
+func (b *Bus) accept() {
+	for {
+		nc, err := b.l.Accept()
+		if err != nil {
+			select {
+			case <-b.stop:
+				return
+			case <-time.After(10 * time.Millisecond): // descriptors may run out for a moment
+				continue
+			}
+		}
+		c := &inbound{b: b, nc: nc}
+		b.mu.Lock()
+		b.greets = append(b.greets, c)
+		if len(b.greets) > mostStrangers {
+			b.greets[0].nc.Close()
+			b.greets = b.greets[1:]
+			b.counts.PutOut++
+		}
+		b.mu.Unlock()
+		b.all.Go(c.run)
+	}
+}
+
+// run reads one connection until it ends, by itself or by a fault.
+func (c *inbound) run() {
+	defer c.gone()
+	in := bufio.NewReader(c.nc)
+	c.nc.SetReadDeadline(time.Now().Add(greetWithin))
+	f, err := read(in, mostAsk)
+	switch {
+	case err != nil:
+		c.b.unread(err)
+		return
+	case f.kind == ask:
+		c.b.o.Answers.reply(c.nc, &f)
+		return
+	case !c.greet(&f):
+		return
+	}
+	pace := pace{at: time.Now()}
+	for {
+		c.nc.SetReadDeadline(time.Now().Add(silentFor + pingEach))
+		f, err := read(in, mostFrame)
+		if err != nil {
+			c.b.unread(err)
+			return
+		}
+		if !c.take(&f) {
+			return
+		}
+		pace.wait(frameExtra+len(f.payload), c.b.stop)
+	}
+}
+
+// greet takes a hello and answers it with this instance's own, whatever comes of it: who is refused learns why.
+func (c *inbound) greet(f *frame) bool {
+	b := c.b
+	b.mu.Lock()
+	k, known := b.links[f.name], b.known[f.name]
+	ok := false
+	switch {
+	case f.kind != hello || f.version != version:
+		b.counts.Nonsense++
+	case k == nil:
+		b.counts.Unlisted++
+	case f.from < known:
+		b.counts.OldLife++
+	default:
+		ok = true
+		c.from = From{f.name, f.from}
+		b.known[f.name] = f.from
+		b.greets = slices.DeleteFunc(b.greets, func(o *inbound) bool { return o == c })
+		b.in[f.name] = slices.DeleteFunc(b.in[f.name], func(o *inbound) bool { // those of an earlier life say no more
+			if o.from.Incarnation < f.from {
+				o.nc.Close()
+			}
+			return o.from.Incarnation < f.from
+		})
+		if b.in[f.name] = append(b.in[f.name], c); len(b.in[f.name]) > perPeer {
+			b.in[f.name][0].nc.Close()
+			b.in[f.name] = b.in[f.name][1:]
+			b.counts.PutOut++
+		}
+	}
+	b.mu.Unlock()
+	if k == nil && f.kind == hello {
+		b.o.Log.WithFields(logrus.Fields{"peer": f.name, "addr": c.nc.RemoteAddr()}).Warn("peer: a name that is not listed is refused")
+	}
+	back := frame{kind: hello, version: version, name: b.o.Me, from: b.Incarnation(), to: max(known, c.from.Incarnation)}
+	c.nc.SetWriteDeadline(time.Now().Add(greetWithin))
+	_, err := c.nc.Write(back.append(nil))
+	return ok && err == nil
+}
+
+// take handles one frame of a peer that said who it is. False: the connection is of no more use.
+func (c *inbound) take(f *frame) bool {
+	b := c.b
+	switch f.kind {
+	case ping:
+		back := frame{kind: pong, number: f.number}
+		c.nc.SetWriteDeadline(time.Now().Add(silentFor))
+		_, err := c.nc.Write(back.append(nil))
+		return err == nil
+	case data:
+		b.mu.Lock()
+		old := f.from != c.from.Incarnation || f.from < b.known[c.from.Name] || f.to != 0 && f.to != b.Incarnation()
+		do := b.o.Heard[f.topic]
+		switch {
+		case old:
+			b.counts.OldLife++
+		case do == nil:
+			b.counts.Strange++
+		}
+		b.mu.Unlock()
+		if !old && do != nil {
+			do(c.from, f.payload)
+		}
+		return !old
+	}
+	b.count(func(n *Counts) { n.Nonsense++ })
+	return false
+}
+
+func (c *inbound) gone() {
+	c.nc.Close()
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	is := func(o *inbound) bool { return o == c }
+	c.b.greets = slices.DeleteFunc(c.b.greets, is)
+	if name := c.from.Name; name != "" {
+		c.b.in[name] = slices.DeleteFunc(c.b.in[name], is)
+	}
+}
+
+// pace holds back a peer that sends more than its part, by reading no further.
+type pace struct {
+	at    time.Time
+	spent float64 // seconds of the peer's part
+}
+
+func (p *pace) wait(bytes int, stop <-chan struct{}) {
+	now := time.Now()
+	p.spent = max(0, p.spent-now.Sub(p.at).Seconds()) + max(1.0/mostRate, float64(bytes)/mostBytesRate)
+	p.at = now
+	if p.spent > 1 { // a second's part may come at once
+		select {
+		case <-stop:
+		case <-time.After(time.Duration((p.spent - 1) * float64(time.Second))):
+		}
+	}
+}
+
+// raised takes word that a life of this instance is known that counts higher than the present one: the wall clock
+// went back, or two processes bear one name.
+func (b *Bus) raised(known uint64) {
+	for {
+		mine := b.incarnation.Load()
+		if known <= mine {
+			return
+		}
+		if b.incarnation.CompareAndSwap(mine, known+1) {
+			b.count(func(c *Counts) { c.TwoOfMe++ })
+			b.o.Log.WithField("known", fmt.Sprintf("%x", known)).Warn("peer: a later life of this instance is known; the clock went back, or two bear this name")
+			return
+		}
+	}
+}
+
+// part is a span less a part of it by chance, so that not all dial at once.
+func part(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"indigochute.example/indigochute/msgpack"
+)
+
+// Bounds of the talk between directors.
+const (
+	version    = 1
+	mostFrame  = 1 << 20  // bytes of one frame
+	mostAsk    = 64 << 10 // of a question
+	mostHello  = 512      // of one from somebody who has not said who it is
+	mostName   = 64
+	mostTopic  = 32
+	frameExtra = 64 // of a frame round its payload, at most
+)
+
+// MostPayload is the most bytes that a message may have.
+const MostPayload = mostFrame - frameExtra - mostTopic
+
+// kind of a frame. Each frame is its length in four bytes and a list that begins with the kind.
+type kind uint8
+
+const (
+	hello  kind = iota // version, name, incarnation, the highest incarnation known of the other side
+	data               // sender's incarnation, receiver's incarnation, topic, payload
+	ping               // number
+	pong               // the same number
+	ask                // version, topic, payload: a question from anybody, answered and closed
+	answer             // whether it was understood, payload or why not
+)
+
+// frame is any of them; which fields count depends on the kind.
+type frame struct {
+	kind    kind
+	version uint64
+	name    string
+	from    uint64 // incarnation of the sender
+	to      uint64 // incarnation of the receiver, as the sender knows it; 0: not known
+	number  uint64
+	topic   string
+	payload []byte
+	ok      bool
+}
+
+var (
+	errFrame   = errors.New("peer: not the shape of a frame")
+	errVersion = errors.New("peer: another version of the talk between directors")
+)
+
+// append writes a frame.
+func (f *frame) append(b []byte) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0)
+	switch f.kind {
+	case hello:
+		b = msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendList(b, 5), uint64(f.kind)), f.version)
+		b = msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendText(b, f.name), f.from), f.to)
+	case data:
+		b = msgpack.AppendUint(msgpack.AppendList(b, 5), uint64(f.kind))
+		b = msgpack.AppendUint(msgpack.AppendUint(b, f.from), f.to)
+		b = msgpack.AppendBytes(msgpack.AppendText(b, f.topic), f.payload)
+	case ping, pong:
+		b = msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendList(b, 2), uint64(f.kind)), f.number)
+	case ask:
+		b = msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendList(b, 4), uint64(f.kind)), f.version)
+		b = msgpack.AppendBytes(msgpack.AppendText(b, f.topic), f.payload)
+	case answer:
+		b = msgpack.AppendUint(msgpack.AppendList(b, 3), uint64(f.kind))
+		b = msgpack.AppendBytes(msgpack.AppendBool(b, f.ok), f.payload)
+	}
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+// read takes the next frame off a stream, of so many bytes at most. io.EOF alone means that the stream ended between two.
+func read(in *bufio.Reader, most int) (f frame, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(in, head[:]); err != nil {
+		return f, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n == 0 || n > uint32(most) {
+		return f, fmt.Errorf("peer: a frame of %d bytes where %d are the most", n, most)
+	}
+	raw := make([]byte, n)
+	if _, err := io.ReadFull(in, raw); err != nil {
+		return f, fmt.Errorf("peer: cut off amid a frame: %w", err)
+	}
+	return parse(raw)
+}
+
+var lengths = [...]int{hello: 5, data: 5, ping: 2, pong: 2, ask: 4, answer: 3} // of the lists, by kind
+
+func parse(raw []byte) (f frame, err error) {
+	v := msgpack.NewValues(raw)
+	n := v.List(5)
+	f.kind = kind(min(v.Uint(), 255))
+	if v.Err() == nil && (f.kind > answer || n != lengths[f.kind]) {
+		return f, errFrame
+	}
+	switch f.kind {
+	case hello:
+		f.version, f.name, f.from, f.to = v.Uint(), v.Text(mostName), v.Uint(), v.Uint()
+	case data:
+		f.from, f.to, f.topic, f.payload = v.Uint(), v.Uint(), v.Text(mostTopic), v.Bytes(mostFrame)
+	case ping, pong:
+		f.number = v.Uint()
+	case ask:
+		f.version, f.topic, f.payload = v.Uint(), v.Text(mostTopic), v.Bytes(mostFrame)
+	case answer:
+		f.ok, f.payload = v.Bool(), v.Bytes(mostFrame)
+	}
+	return f, v.End()
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,216 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// heard collects what came.
+type heard struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (h *heard) take(from From, payload []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.all = append(h.all, fmt.Sprintf("%s:%s", from.Name, payload))
+}
+
+func (h *heard) has(s string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, x := range h.all {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func open(t *testing.T, me, listen string, peers map[string]string, h *heard) *Bus {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b, err := Open(Options{Me: me, Listen: listen, Peers: peers, Log: log.WithField("name", me),
+		Heard:   map[string]func(From, []byte){"t": h.take},
+		Answers: Answers{"who": func([]byte) ([]byte, error) { return []byte(me), nil }}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(8 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%s: not within 8 s", what)
+		}
+	}
+}
+
+// free is an address nobody listens at.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Messages pass both ways, queue while the other is away, and none that waited for its earlier life reaches the next.
+func TestMessagesAndLives(t *testing.T) {
+	var ha, hb, hb2 heard
+	atB := free(t)
+	a := open(t, "a", "127.0.0.1:0", map[string]string{"b": atB}, &ha)
+	defer a.Close()
+	a.Send("b", "t", []byte("early"))
+	b := open(t, "b", atB, map[string]string{"a": a.Addr()}, &hb)
+	b.Send("a", "t", []byte("back"))
+	eventually(t, "both ways", func() bool { return hb.has("a:early") && ha.has("b:back") })
+	if a.Send("c", "t", nil) || a.Send("b", "t", make([]byte, MostPayload+1)) {
+		t.Error("what cannot be sent was taken")
+	}
+	b.Close()
+	eventually(t, "a sees it", func() bool { return a.Status().Links[0].State != "up" })
+	a.Send("b", "t", []byte("for the dead"))
+	time.Sleep(2 * time.Millisecond) // a later life counts higher
+	b = open(t, "b", atB, map[string]string{"a": a.Addr()}, &hb2)
+	defer b.Close()
+	eventually(t, "up again", func() bool { return a.Status().Links[0].State == "up" })
+	a.Send("b", "t", []byte("for the living"))
+	eventually(t, "heard", func() bool { return hb2.has("a:for the living") })
+	if hb2.has("a:for the dead") {
+		t.Error("a message for an earlier life was heard")
+	}
+	if got, err := Ask(b.Addr(), "who", nil, time.Second); err != nil || string(got) != "b" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if _, err := Ask(b.Addr(), "what", nil, time.Second); err == nil || !strings.Contains(err.Error(), "nothing is known") {
+		t.Error(err)
+	}
+}
+
+// Strangers, old lives, floods, nonsense and whoever hangs cost only themselves: a listed peer is heard all the while.
+func TestBadPeers(t *testing.T) {
+	var ha, hb heard
+	a := open(t, "a", "127.0.0.1:0", nil, &ha)
+	defer a.Close()
+	atB := free(t)
+	a.List(map[string]string{"b": atB, "c": free(t)})
+	b := open(t, "b", atB, map[string]string{"a": a.Addr()}, &hb)
+	defer b.Close()
+	say := func(f frame) net.Conn {
+		nc, err := net.Dial("tcp", a.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.Write(f.append(nil))
+		return nc
+	}
+	say(frame{kind: hello, version: version, name: "stranger", from: 1})
+	say(frame{kind: hello, version: version + 1, name: "c", from: 1})
+	say(frame{kind: hello, version: version, name: "c", from: 100})
+	eventually(t, "c known", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.known["c"] == 100 })
+	say(frame{kind: hello, version: version, name: "c", from: 99})
+	for range 2 * mostStrangers { // hang before they say who they are
+		nc, err := net.Dial("tcp", a.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+	}
+	huge, _ := net.Dial("tcp", a.Addr())
+	huge.Write(binary.BigEndian.AppendUint32(nil, 1<<31))
+	defer huge.Close()
+	flood := say(frame{kind: hello, version: version, name: "c", from: 101})
+	go func() {
+		f := frame{kind: data, from: 101, topic: "t", payload: bytes.Repeat([]byte("x"), 1000)}
+		for b := f.append(nil); ; {
+			if _, err := flood.Write(b); err != nil {
+				return
+			}
+		}
+	}()
+	for i := range 20 {
+		b.Send("a", "t", []byte(fmt.Sprint("m", i)))
+		began := time.Now()
+		eventually(t, "heard amid it all", func() bool { return ha.has(fmt.Sprint("b:m", i)) })
+		if took := time.Since(began); i > 0 && took > time.Second {
+			t.Errorf("message %d took %v", i, took)
+		}
+	}
+	c := a.Status().Counts
+	if c.Unlisted == 0 || c.OldLife == 0 || c.Nonsense < 2 || c.PutOut == 0 {
+		t.Errorf("%+v", c)
+	}
+	ha.mu.Lock()
+	defer ha.mu.Unlock()
+	if n := len(ha.all); n > 4*mostRate {
+		t.Errorf("%d messages of a flood were taken", n)
+	}
+}
+
+// A queue keeps the newest, bounded by count and by bytes.
+func TestQueueIsBounded(t *testing.T) {
+	k := &link{wake: make(chan struct{}, 1), over: make(chan struct{})}
+	for i := range 2 * mostQueued {
+		k.push(message{"t", []byte(fmt.Sprint(i))})
+	}
+	if m, _ := k.pop(); len(k.queue) != mostQueued-1 || string(m.payload) != fmt.Sprint(mostQueued) {
+		t.Errorf("%d left, the oldest is %s", len(k.queue), m.payload)
+	}
+	for range 10 {
+		k.push(message{"t", make([]byte, MostPayload)})
+	}
+	if k.bytes > mostBytes || k.dropped == 0 {
+		t.Errorf("%d bytes", k.bytes)
+	}
+}
+
+// A clock that went back over a restart locks nobody out: the others tell of the later life.
+func TestClockWentBack(t *testing.T) {
+	var ha, hb heard
+	atB := free(t)
+	a := open(t, "a", "127.0.0.1:0", map[string]string{"b": atB}, &ha)
+	defer a.Close()
+	a.mu.Lock()
+	a.known["b"] = 1 << 62
+	a.mu.Unlock()
+	b := open(t, "b", atB, map[string]string{"a": a.Addr()}, &hb)
+	defer b.Close()
+	b.Send("a", "t", []byte("here"))
+	eventually(t, "heard", func() bool { return ha.has("b:here") })
+	if b.Incarnation() != 1<<62+1 || b.Status().Counts.TwoOfMe != 1 {
+		t.Errorf("%x %+v", b.Incarnation(), b.Status().Counts)
+	}
+}
+
+func FuzzFrames(f *testing.F) {
+	for _, x := range []frame{{kind: hello, version: 1, name: "a", from: 1 << 60}, {kind: data, from: 1, to: 2, topic: "t", payload: []byte("p")},
+		{kind: ping, number: 7}, {kind: ask, version: 1, topic: "who"}, {kind: answer, ok: true, payload: []byte("x")}} {
+		f.Add(x.append(nil)[4:])
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		x, err := parse(raw)
+		if err != nil {
+			return
+		}
+		y, err := parse(x.append(nil)[4:])
+		if err != nil || y.kind != x.kind || y.name != x.name || !bytes.Equal(y.payload, x.payload) || y.from != x.from {
+			t.Errorf("%+v became %+v, %v", x, y, err)
+		}
+	})
+}
