Tests of crew, operator file, board and what others tell of machines

A look that panics was caught in the run's goroutine only and would have ended the process; it is caught where it happens now (found by writing the test).

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -729,3 +729,38 @@
 		}
 	}
 }
+
+// What another director tells of a machine: silence sets it aside where nothing was heard of it since, life ends that, an
+// older start says nothing, and of all caches silent at once most are left to be tried.
+func TestWhatOthersTellOfMachines(t *testing.T) {
+	w := calm(t, 6)
+	w.run(w.now + time.Second)
+	asides := func() (n int) {
+		for _, c := range w.d.caches {
+			if c.aside > w.now {
+				n++
+			}
+		}
+		return n
+	}
+	w.d.Told(w.now, 10, 0, false, w.now-100*ms)
+	n := w.d.nodes[10]
+	w.blame(asides() != 1 || !n.trial, "a silent cache is not set aside")
+	w.run(w.now + 100*ms)
+	w.d.Told(w.now, 10, 0, true, w.now)
+	w.blame(asides() != 0 || !n.trial, "one that lives again is not on trial")
+	w.run(w.now + 100*ms)
+	n.alive(w.now)
+	w.d.Told(w.now, 10, 0, false, w.now-50*ms)
+	w.blame(asides() != 0, "older silence than its last answer counts")
+	w.tell(false, Listed{Node: 11, State: Ready, Zone: 1, Booted: true, Boot: w.now})
+	w.d.Told(w.now, 11, 0, false, w.now)
+	w.blame(asides() != 0, "silence of an earlier start counts")
+	w.run(w.now + time.Second)
+	for i := range 6 {
+		w.d.Told(w.now, uint32(10+i), w.now, false, w.now)
+	}
+	w.blame(asides() < 2 || asides() > 3, "%d of 6 set aside on hearsay", asides())
+	w.d.Told(w.now, 99, 0, false, w.now) // of nobody
+	w.blame(w.d.nodes[99] != nil, "an unknown machine is kept")
+}
--- a/crew/task.go
+++ b/crew/task.go
@@ -127,18 +127,21 @@
 
 // perform does what a duty is for. A panic is a failed run and costs nothing else.
 func (c *Crew) perform(ctx context.Context, r *run, d operator.Duty) (err error) {
-	defer func() {
-		if fault := recover(); fault != nil {
-			c.log.WithField("panic", fault).Errorf("duty %s: %s", d.Name, debug.Stack())
-			err = fmt.Errorf("panic: %v", fault)
-		}
-	}()
+	defer c.caught(d.Name, &err)
 	if d.Kind == "probe" {
 		return c.probe(ctx, r)
 	}
 	return c.call(ctx, r, d)
 }
 
+// caught, deferred, turns a panic into an error.
+func (c *Crew) caught(duty string, err *error) {
+	if fault := recover(); fault != nil {
+		c.log.WithField("panic", fault).Errorf("duty %s: %s", duty, debug.Stack())
+		*err = fmt.Errorf("panic: %v", fault)
+	}
+}
+
 // call puts two questions to an address, that a run begins and that it ends. Each carries the fencing number: who is
 // asked can refuse what comes under an older one.
 func (c *Crew) call(ctx context.Context, r *run, d operator.Duty) error {
@@ -167,6 +170,7 @@
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	var reports []duty.Report
+	var broken error
 	places := make(chan struct{}, p.AtOnce)
 	began := time.Now()
 	for _, m := range c.d.Machines() {
@@ -177,16 +181,25 @@
 		all.Go(func() {
 			defer func() { <-places }()
 			at := time.Now()
-			alive, asked := c.d.Look(m, p.Within.D(), p.Vhost, p.Object)
-			if !asked {
-				return
-			}
+			var err error
+			alive, asked := false, false
+			func() { // a panic here would end the process
+				defer c.caught(r.o.Duty, &err)
+				alive, asked = c.d.Look(m, p.Within.D(), p.Vhost, p.Object)
+			}()
 			mu.Lock()
 			defer mu.Unlock()
-			reports = append(reports, duty.Report{Node: m.ID, Born: m.Born, Alive: alive, Age: at.Sub(began)})
+			if err != nil {
+				broken = err
+			} else if asked {
+				reports = append(reports, duty.Report{Node: m.ID, Born: m.Born, Alive: alive, Age: at.Sub(began)})
+			}
 		})
 	}
 	all.Wait()
+	if broken != nil {
+		return broken
+	}
 	fence, ok := c.may(r)
 	if !ok {
 		return errLost
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -373,3 +373,44 @@
 		}
 	}
 }
+
+// Of what is told of a machine neither an older start, nor a lower fencing number, nor an earlier run ever wins.
+func TestBoard(t *testing.T) {
+	b := NewBoard()
+	take := func(born int64, fence, run uint64) bool {
+		raw := AppendNews(nil, &News{Duty: "probe", Fence: fence, Run: run, Reports: []Report{{Node: 7, Born: born, Alive: true, Age: time.Millisecond}}})
+		n, err := ParseNews(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(b.Take(time.Second, &n)) == 1
+	}
+	for i, x := range []struct {
+		born       int64
+		fence, run uint64
+		counts     bool
+	}{{5, 10, 1, true}, {5, 10, 1, false}, {5, 10, 2, true}, {5, 9, 99, false}, {5, 11, 1, true}, {4, 99, 99, false}, {6, 1, 1, true}, {6, 1, 0, false}} {
+		if take(x.born, x.fence, x.run) != x.counts {
+			t.Errorf("step %d, %+v", i, x)
+		}
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add(Append(nil, &Message{Kind: Grant, Term: 1 << 50, For: time.Second, Whole: true, Leases: []Leased{{Duty: "x", Fence: 7, Ran: true, Age: time.Hour}}}))
+	f.Add(AppendNews(nil, &News{Duty: "probe", Fence: 1, Reports: []Report{{Node: 7}}}))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		ParseNews(raw)
+		m, err := Parse(raw)
+		if err != nil {
+			return
+		}
+		n := New(Config{Me: "a", All: []string{"a", "b"}, Lease: time.Second, Beat: 200 * time.Millisecond, Duties: []Duty{{Name: "x", Period: time.Second, Timeout: time.Second}}}, 0)
+		m.From, m.To = "b", "a"
+		n.Receive(5*time.Second, m)
+		n.Tick(5 * time.Second)
+		if again, err := Parse(Append(nil, &m)); err != nil || again.Term != m.Term || len(again.Leases) != len(m.Leases) {
+			t.Errorf("%+v became %+v, %v", m, again, err)
+		}
+	})
+}
--- a/lab/rehearse/rehearse.go
+++ b/lab/rehearse/rehearse.go
@@ -32,6 +32,7 @@
 func All() []Rehearsal {
 	return []Rehearsal{
 		{"plan", "a prediction, checked on sockets below and above the breaking point; a cold return; a drain and a purge", planned},
+		{"duties", "duties that only one director may run: kills, pauses, cuts, leaves, slow and garbled links, among 3 and 5 processes", duties},
 	}
 }
 
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"indigochute.example/indigochute/duty"
+)
+
+func deployed(t *testing.T) []byte {
+	raw, err := os.ReadFile("../deploy/operator.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// The annotated file in deploy/ is read, fits the schema and gives the core a configuration that it takes.
+func TestDeployedFile(t *testing.T) {
+	raw := deployed(t)
+	f, err := Parse("operator.yaml", raw, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := duty.Config{Me: "n1", All: f.Names(), Lease: f.Lease.D(), Beat: f.Beat.D(), Drift: float64(f.Drift), Duties: f.List()}
+	if err := c.Check(); err != nil || len(f.Others("n1")) != 2 || f.Address("n1") != "10.0.0.2:7400" {
+		t.Errorf("%v %+v", err, f)
+	}
+	text, err := Schema()
+	if err != nil {
+		t.Fatal(err)
+	}
+	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	compiler.AddResource("operator", schema)
+	compiled, err := compiler.Compile("operator")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asJSON, err := yaml.YAMLToJSON(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var value any
+	json.Unmarshal(asJSON, &value)
+	if err := compiled.Validate(value); err != nil {
+		t.Error(err)
+	}
+}
+
+// Every fault is told with its line and key, all at once.
+func TestFaults(t *testing.T) {
+	raw := string(deployed(t))
+	for change, says := range map[[2]string]string{
+		{"lease: 1200ms", "leese: 1200ms"}:         "leese: found an unknown key",
+		{"lease: 1200ms", "lease: 300ms"}:          "beat: found «250ms»",
+		{"drift: 1%", "drift: 60%"}:                "drift: found «60%»",
+		{"name: n1", "name: n0"}:                   "instances[1].name: found «n0» a second time",
+		{"10.0.0.2:7400", "10.0.0.1:7400"}:         "instances[1].address: found «10.0.0.1:7400» a second time",
+		{"10.0.0.2:7400", "10.0.0.2"}:              "instances[1].address: found «10.0.0.2»",
+		{"name: n2", "name: n9"}:                   "instances: found no instance «n2»",
+		{"timeout: 450ms", "timeout: 450"}:         "duties[0].timeout: found",
+		{"timeout: 450ms", "timeout: 2s"}:          "duties[0].timeout: found «2s»",
+		{"kind: probe", "kind: call"}:              "duties[0].address: found «»",
+		{"kind: probe", "kind: sweep"}:             "duties[0].kind: found «sweep»",
+		{"  # vhost: segment", "  vhost: segment"}: "probe: found a vhost or an object alone",
+	} {
+		bad := strings.Replace(raw, change[0], change[1], 1)
+		if bad == raw {
+			t.Fatalf("%q is not in the file", change[0])
+		}
+		_, err := Parse("operator.yaml", []byte(bad), "n2")
+		if err == nil || !strings.Contains(err.Error(), says) || !strings.HasPrefix(err.Error(), "operator.yaml:") {
+			t.Errorf("%q: %v", change[1], err)
+		}
+	}
+	two := strings.Replace(strings.Replace(raw, "drift: 1%", "drift: 60%", 1), "name: n1", "name: n0", 1)
+	if _, err := Parse("operator.yaml", []byte(two), ""); err == nil || strings.Count(err.Error(), "\n") != 1 {
+		t.Errorf("two faults: %v", err)
+	}
+}
