--- /dev/null
+++ b/lab/rig/idle_test.go
@@ -0,0 +1,76 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// used is the core time and the resident memory of a process.
+func (p *Proc) used(t *testing.T) (cpu time.Duration, resident int) {
+	t.Helper()
+	pid := p.cmd.Process.Pid
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(status), "VmRSS:")
+	resident, _ = strconv.Atoi(strings.Fields(after)[0])
+	return time.Duration(user+system) * 10 * time.Millisecond, resident * 1024
+}
+
+// An instance among three with 1,000 duties that rest costs little.
+func TestIdleCost(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("duties:\n")
+	for i := range 1000 {
+		fmt.Fprintf(&b, "  - {name: duty-%04d, kind: call, address: \"COUNTER\", period: 1h, timeout: 1s, missed: pass}\n", i)
+	}
+	r := start(t, Options{Directors: 3, Seed: 41, Operator: b.String()})
+	r.await(t, "all owned", soon, func() bool { return len(r.Owners()) == 1000 })
+	silent := start(t, Options{Directors: 1, Seed: 42, Silent: true})
+	time.Sleep(time.Second)
+	type sample struct {
+		cpu   time.Duration
+		bytes int64
+	}
+	look := func(p *Proc) (s sample) {
+		s.cpu, _ = p.used(t)
+		if !p.r.o.Silent {
+			st, err := p.Status()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, l := range st.Bus.Links {
+				s.bytes += l.Bytes
+			}
+		}
+		return s
+	}
+	const span = 5 * time.Second
+	all := append(r.Procs, silent.Procs...)
+	var first []sample
+	for _, p := range all {
+		first = append(first, look(p))
+	}
+	time.Sleep(span)
+	for i, p := range all {
+		s := look(p)
+		_, resident := p.used(t)
+		core, bytes := (s.cpu-first[i].cpu).Seconds()/span.Seconds(), float64(s.bytes-first[i].bytes)/span.Seconds()
+		t.Logf("%s, silent %v, keeper %v: %.3f of a core, %.1f MB, %.0f bytes a second", p.Name, p.r.o.Silent, p == r.Keeper(), core, float64(resident)/1e6, bytes)
+		if core > 0.1 || bytes > 20000 {
+			t.Errorf("%s: %.3f of a core, %.0f bytes a second", p.Name, core, bytes)
+		}
+	}
+}
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -32,6 +32,7 @@
 	Fleet     string    // YAML of the stand-in fleet; empty: a small one. A %d in it is the number of directors
 	Operator  string    // YAML that follows the list of instances in each operator file, in which COUNTER is the counter's address
 	Silent    bool      // no operator files: directors that never talk
+	Alone     bool      // each operator file names its own director only
 	Clocks    []float64 // how fast each instance's clock for duties runs; shorter: 1
 }
 
@@ -231,6 +232,9 @@
 	b.WriteString("instances:\n")
 	for _, o := range p.r.Procs {
 		at := o.Peer
+		if o != p && p.r.o.Alone {
+			continue
+		}
 		if o != p {
 			k, err := p.r.Net.Link(p.Name+">"+o.Name, o.Peer)
 			if err != nil {
--- a/lab/standin/node.go
+++ b/lab/standin/node.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"indigochute.example/indigochute/feed"
 	"indigochute.example/indigochute/fleet"
@@ -22,6 +23,9 @@
 	addr  netip.AddrPort
 	shown netip.AddrPort // what directors are told
 
+	pings atomic.Int64 // that it was sent
+	asks  atomic.Int64
+
 	mu    sync.Mutex
 	l     net.Listener
 	conns map[*conn]bool
@@ -114,6 +118,7 @@
 		}
 		switch {
 		case cmd.Ping:
+			c.n.pings.Add(1)
 			c.send(resp.AppendAnswer(nil, &resp.Answer{ID: cmd.ID, Word: resp.Pong}))
 		case cmd.Drop:
 			s.with(func(w *model.World) {
@@ -145,6 +150,7 @@
 // ask hands a req to the world.
 func (c *conn) ask(cmd *resp.Command) {
 	s := c.n.s
+	c.n.asks.Add(1)
 	obj, err := strconv.ParseUint(cmd.Obj, 16, 64)
 	part, _ := strconv.ParseUint(cmd.Part, 10, 32)
 	vhost := slices.IndexFunc(s.f.Vhosts, func(v fleet.Vhost) bool { return v.Name == cmd.Vhost })
--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -243,6 +243,12 @@
 	return n
 }
 
+// Asked counts the reqs and the PINGs that came to a machine.
+func (s *Fleet) Asked(id uint32) (reqs, pings int) {
+	n := s.nodes[id]
+	return int(n.asks.Load()), int(n.pings.Load())
+}
+
 // Machines lists the fleet's.
 func (s *Fleet) Machines() []fleet.Machine { return s.list }
 
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 
 	"indigochute.example/indigochute/msgpack"
@@ -24,7 +25,9 @@
 // MostPayload is the most bytes that a message may have.
 const MostPayload = mostFrame - frameExtra - mostTopic
 
-// kind of a frame. Each frame is its length in four bytes and a list that begins with the kind.
+// kind of a frame. Each frame is its length in four bytes, the checksum of the rest in four more, and a list that begins
+// with the kind. The checksum guards against what garbles a byte on its way and leaves a message that can be read: no rule
+// of those above stands a span or a number that nobody sent.
 type kind uint8
 
 const (
@@ -49,15 +52,20 @@
 	ok      bool
 }
 
+const headSize = 8
+
+var sums = crc32.MakeTable(crc32.Castagnoli)
+
 var (
 	errFrame   = errors.New("peer: not the shape of a frame")
+	errGarbled = errors.New("peer: a frame whose checksum does not fit")
 	errVersion = errors.New("peer: another version of the talk between directors")
 )
 
 // append writes a frame.
 func (f *frame) append(b []byte) []byte {
 	at := len(b)
-	b = append(b, 0, 0, 0, 0)
+	b = append(b, 0, 0, 0, 0, 0, 0, 0, 0)
 	switch f.kind {
 	case hello:
 		b = msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendList(b, 5), uint64(f.kind)), f.version)
@@ -75,13 +83,14 @@
 		b = msgpack.AppendUint(msgpack.AppendList(b, 3), uint64(f.kind))
 		b = msgpack.AppendBytes(msgpack.AppendBool(b, f.ok), f.payload)
 	}
-	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-headSize))
+	binary.BigEndian.PutUint32(b[at+4:], crc32.Checksum(b[at+headSize:], sums))
 	return b
 }
 
 // read takes the next frame off a stream, of so many bytes at most. io.EOF alone means that the stream ended between two.
 func read(in *bufio.Reader, most int) (f frame, err error) {
-	var head [4]byte
+	var head [headSize]byte
 	if _, err := io.ReadFull(in, head[:]); err != nil {
 		return f, err
 	}
@@ -93,6 +102,9 @@
 	if _, err := io.ReadFull(in, raw); err != nil {
 		return f, fmt.Errorf("peer: cut off amid a frame: %w", err)
 	}
+	if crc32.Checksum(raw, sums) != binary.BigEndian.Uint32(head[4:]) {
+		return f, errGarbled
+	}
 	return parse(raw)
 }
 
