--- a/control/control.go
+++ b/control/control.go
@@ -567,9 +567,9 @@
 
 // Told takes what one of the directors, which looks at machines for all, has seen of one at a time: of its
 // start, the newest that was told. Silence sets it aside where it answered nobody here since, and keeps it so
-// while that is told anew: its end will be told, so that not every director tries it at a req's cost. Who sees
-// half of the location's caches silent may be cut off itself: what it says of more is left to those who find it
-// so. A sign of life says only that the machine runs: one that silence set aside is on trial from then on.
+// while that is told anew: its end will be told, so that not each director tries it at a req's cost. Who sees
+// half of a location's caches silent may be cut off itself: what it says of more is left to who finds it so.
+// A sign of life says only that the machine runs: one that silence set aside is on trial from then on.
 func (d *Director) Told(now time.Duration, id uint32, boot time.Duration, alive bool, at time.Duration) {
 	n := d.nodes[id]
 	if n == nil || n.listed > boot { // of an earlier start
--- /dev/null
+++ b/lab/rig/export_test.go
@@ -0,0 +1,6 @@
+package rig
+
+import "testing"
+
+// Program is the program that TestMain built, for tests outside of the package.
+func Program(*testing.T) string { return program }
--- a/lab/standin/clients.go
+++ b/lab/standin/clients.go
@@ -33,6 +33,9 @@
 	hists []*hdrhistogram.Histogram
 	late  *lateness
 
+	// Tried, where set before Run, is told how each try of a req ended; it may not block.
+	Tried func(Try)
+
 	pools  sync.Map // by address: *pool
 	open   sync.WaitGroup
 	lastID atomic.Uint64
@@ -50,6 +53,26 @@
 	slowest     = 60 * time.Second
 )
 
+// Try is one try of a req, at one director.
+type Try struct {
+	At       time.Duration // when it ended, since the load began
+	Director netip.AddrPort
+	Vhost    int
+	How      plan.Ended
+	Again    int           // tries before it
+	Meant    time.Duration // when the req was meant to come, since the load began
+	Met      bool          // answered within its aim, counted from then
+}
+
+// tried tells of the end of a try.
+func (c *call) tried(how plan.Ended) {
+	if l := c.l; l.Tried != nil {
+		now := time.Since(l.begin)
+		met := how == plan.WasServed && now-c.q.At <= l.s.f.AimOf(int(c.q.Vhost), int(c.q.Bytes))
+		l.Tried(Try{now, c.addr, int(c.q.Vhost), how, c.retries, c.q.At, met})
+	}
+}
+
 // NewLoad prepares a play of reqs, of which those meant before from are not counted, over a span that counts.
 func (s *Fleet) NewLoad(reqs []plan.Req, from, span time.Duration) *Load {
 	l := &Load{s: s, reqs: reqs, from: from, late: newLateness(), result: &plan.Result{Vhosts: make([]plan.Tally, len(s.f.Vhosts)), Span: span}}
@@ -126,7 +149,7 @@
 		return
 	}
 	v := &f.Vhosts[q.Vhost]
-	c := &call{l: l, q: q, retries: retries}
+	c := &call{l: l, q: q, retries: retries, addr: addr}
 	c.m = msgpack.Message{Vhost: v.Name, Req: fmt.Sprintf("%016x", id), Timeout: v.Timeout.D(), Obj: fmt.Sprintf("%016x", q.Obj),
 		Part: strconv.Itoa(int(q.Part)), Group: strconv.Itoa(int(q.Group & 0xff)), Idem: fmt.Sprintf("k%x-%x", q.At, q.Obj)}
 	c.sent = time.Now()
@@ -152,6 +175,7 @@
 	l       *Load
 	q       *plan.Req
 	retries int
+	addr    netip.AddrPort
 	m       msgpack.Message
 	sent    time.Time
 	timer   *time.Timer
@@ -162,6 +186,7 @@
 // expire gives up. The director had to answer before.
 func (c *call) expire() {
 	c.once.Do(func() {
+		c.tried(plan.HasFailed)
 		if cc := c.conn; cc != nil {
 			cc.forget(c.m.ID)
 		}
@@ -180,8 +205,10 @@
 		v := &f.Vhosts[c.q.Vhost]
 		switch {
 		case a == nil || a.Aborted:
+			c.tried(plan.HasFailed)
 			l.end(c.q, plan.HasFailed, c.retries)
 		case a.Denied:
+			c.tried(plan.WasDenied)
 			wait := a.ComeBack
 			if wait == 0 {
 				wait = f.Clients.After.D()
@@ -192,6 +219,7 @@
 			}
 			time.AfterFunc(wait, func() { l.come(c.q, c.retries+1) })
 		default:
+			c.tried(plan.WasServed)
 			l.s.rules.answered(int(c.q.Vhost), c.q.Obj, c.q.Part, a.Body)
 			l.end(c.q, plan.WasServed, c.retries)
 		}
--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -205,6 +205,20 @@
 	})
 }
 
+// Boot brings machines back that were killed, cold and empty.
+func (s *Fleet) Boot(ids ...uint32) {
+	s.with(func(w *model.World) {
+		for _, id := range ids {
+			w.Boot(id)
+		}
+	})
+}
+
+// Narrow leaves a parent or the origin a part of its pace; above 1 it gives pace back.
+func (s *Fleet) Narrow(id uint32, part float64) {
+	s.with(func(w *model.World) { w.Narrow(id, part) })
+}
+
 // Drain has the journal service say that a machine takes no more. It goes on serving what it is asked.
 func (s *Fleet) Drain(id uint32) {
 	s.rules.drained(id)
