--- a/crew/crew.go
+++ b/crew/crew.go
@@ -77,7 +77,8 @@
 	}
 	c.bus = bus
 	log.WithFields(logrus.Fields{"listen": bus.Addr(), "instances": len(f.Instances), "duties": len(f.Duties), "silent_for": c.node.Mute()}).Info("talking with other directors")
-	c.all.Go(c.run)
+	each := f.Beat.D() / ticks
+	c.all.Go(func() { c.run(each) })
 	return c, nil
 }
 
@@ -102,8 +103,8 @@
 }
 
 // run lets time pass for the core until the crew ends.
-func (c *Crew) run() {
-	beat := time.NewTicker(c.f.Beat.D() / ticks)
+func (c *Crew) run(each time.Duration) {
+	beat := time.NewTicker(each)
 	defer beat.Stop()
 	for {
 		select {
