--- a/control/control.go
+++ b/control/control.go
@@ -679,11 +679,11 @@
 		m.known, m.timely = true, 0
 	case m.most < roomQuick*part, !m.known && out+1 > m.most/2:
 		m.most += part
-	case out+1 > m.most/2: // faster with each room's worth of timely ones in a row, to be back soon after a jolt
+	case out+1 > m.most/2: // as the joint room would; faster with each room's worth of timely ones
 		if d.lateShare < settle {
 			m.timely++
 		}
-		m.most += min(part, (1+m.timely/m.most)/m.most)
+		m.most += min(part, (1+m.timely/m.most)/(m.most*d.set.here))
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -764,3 +764,28 @@
 	w.d.Told(w.now, 99, 0, false, w.now) // of nobody
 	w.blame(w.d.nodes[99] != nil, "an unknown machine is kept")
 }
+
+// Directors that share a machine make as much room in it together, by the same answers, as one would alone: each has a
+// part of the room and hears a part of the answers.
+func TestPartsOfARoomGrowAsOneWould(t *testing.T) {
+	joint := func(directors int) float64 {
+		s := settings0()
+		s.Here, s.Directors = directors, directors
+		sum := 0.0
+		for range directors {
+			d := Start(s, &world{})
+			m := &room{most: 24 / float64(directors), known: true}
+			for range 200 / directors {
+				d.adapt(m, m.most, true, 1)
+			}
+			sum += m.most
+		}
+		return sum
+	}
+	alone := joint(1)
+	for _, n := range []int{2, 5, 10} {
+		if got := joint(n); math.Abs(got-alone) > alone/10 {
+			t.Errorf("%d directors make a joint room of %.1f, one of %.1f", n, got, alone)
+		}
+	}
+}
--- a/director/looks.go
+++ b/director/looks.go
@@ -36,12 +36,12 @@
 
 // Look asks a machine whether it runs, within so much time for each step, and a cache for a small object of a replayable
 // vhost as well, if one is named: of what it holds only, so that nothing is filled. Asked is false where no socket is to
-// spare or nobody of that id is listed.
+// spare or nobody of that id is listed as ready.
 func (d *Director) Look(m Machine, within time.Duration, vhost, obj string) (alive, asked bool) {
 	s := d.nodes
 	s.mu.Lock()
 	n := s.byID[m.ID]
-	if n == nil || n.born != m.Born || s.left <= s.spare {
+	if n == nil || !n.ready || n.born != m.Born || s.left <= s.spare {
 		s.mu.Unlock()
 		return false, false
 	}
--- /dev/null
+++ b/lab/rehearse/division_test.go
@@ -0,0 +1,44 @@
+package rehearse
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/fleet"
+	"indigochute.example/indigochute/lab/standin"
+	"indigochute.example/indigochute/plan"
+)
+
+var division = flag.Bool("division", false, "simulate what division among directors costs: half a minute")
+
+// The second table of docs/overload.md.
+func TestDivision(t *testing.T) {
+	if !*division {
+		t.Skip("only with -division")
+	}
+	for _, times := range []float64{2, 4} {
+		for _, n := range []int{1, 5, 20, 100} {
+			met, asked := 0.0, 0.0
+			for seed := range uint64(3) {
+				f, err := fleet.Parse("overload", []byte(fmt.Sprintf(OverloadFleet, n)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				reqs, err := standin.Made(f, 480*times, 40*time.Second, seed+1)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r, err := plan.Play(f, plan.DemandOf(reqs), plan.Setup{Factor: 1, Seed: seed, Warm: 6 * time.Second, Span: 12 * time.Second})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for v, x := range r.Vhosts {
+					met, asked = met+f.Vhosts[v].Value*float64(x.Met), asked+f.Vhosts[v].Value*float64(x.Asked)
+				}
+			}
+			fmt.Printf("%g times, %d directors: %.3f of the worth\n", times, n, met/asked)
+		}
+	}
+}
