--- a/duty/node.go
+++ b/duty/node.go
@@ -97,7 +97,7 @@
 
 // Gone tells whether an instance that leaves owns and keeps nothing any more.
 func (n *Node) Gone(now time.Duration) bool {
-	return n.leaving && !n.Keeper(now) && !slices.ContainsFunc(n.order, func(h *hold) bool { return now < h.until }) && len(n.back) == 0
+	return n.leaving && !n.Keeper(now) && n.idle(now)
 }
 
 // SetDuties takes another list of duties. What is no longer on it is given back once its run has ended.
