--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -40,7 +40,6 @@
 	chance *rand.Rand
 	links  []*Link
 	note   func(what string) // told of each command
-	closed bool
 }
 
 // New is a net without links. Note, where not nil, is told of each command that changes a link.
@@ -199,7 +198,7 @@
 func (n *Net) Close() {
 	n.mu.Lock()
 	links := n.links
-	n.links, n.closed = nil, true
+	n.links = nil
 	n.mu.Unlock()
 	for _, k := range links {
 		k.mu.Lock()
