duty: candidates of large installations stand further apart, so that votes do not split

The chance before standing is spread in proportion above five instances; up to five nothing changes.

--- a/duty/node.go
+++ b/duty/node.go
@@ -74,7 +74,7 @@
 	if len(c.All) > 1 {
 		n.mute = now + c.longer(c.longer(c.Lease))
 	}
-	n.nextAsk = n.mute + n.someOf(c.Lease)
+	n.nextAsk = n.mute + n.apart(c.Lease)
 	n.index()
 	return n
 }
@@ -85,6 +85,14 @@
 	return time.Duration(float64(d) * unit(n.c.Seed, n.c.Me, n.counter))
 }
 
+// apart is a time by chance before this instance stands, longer where many might: else those of a large installation stand
+// within the time that a message takes, again and again, and none has a majority.
+func (n *Node) apart(d time.Duration) time.Duration {
+	return n.someOf(d * time.Duration(max(fewInstances, len(n.c.All))) / fewInstances)
+}
+
+const fewInstances = 5 // up to so many stand far enough apart as it is
+
 // Mute is how long after its start an instance promises nothing.
 func (n *Node) Mute() time.Duration { return n.mute - n.started }
 
@@ -152,11 +160,11 @@
 	if !n.Keeper(now) {
 		if n.standing { // in vain, or not kept: it counts no promise any more, so they are given back
 			n.standing, n.asked = false, map[uint64]*round{}
-			n.nextAsk = now + n.c.Beat + n.someOf(n.c.Lease)
+			n.nextAsk = now + n.c.Beat + n.apart(n.c.Lease)
 			return n.each(now, Message{Kind: Release, Term: n.mine})
 		}
 		if n.leaving || now < n.heard+n.c.longer(n.c.Lease) && n.heard > 0 || now < n.until && n.promised != n.c.Me {
-			n.nextAsk = now + n.c.Beat/2 + n.someOf(n.c.Beat)
+			n.nextAsk = now + n.c.Beat/2 + n.apart(n.c.Beat)
 			return nil
 		}
 		n.standing = true
