An answer's bytes tell its sending time, so that a large one is no jam

Change: config reads flow_bytes_per_s, the director tells with an answer what sending its bytes takes (Outcome.Sending), and fit takes that for the size; aims, strain and rooms are judged by it. Where no pace is told nothing changes.

--- a/config/config.go
+++ b/config/config.go
@@ -33,6 +33,7 @@
 	ConnIdle    time.Duration // after which nodes close one
 	Streams     int           // reqs that one carries at a time
 	MostOpen    int           // reqs held at a time
+	Flow        float64       // bytes a second of one answer at full pace; 0: not told
 
 	Settings control.Settings
 }
@@ -91,6 +92,9 @@
 		MemoryMB: int(p.above("limits.memory_mb")),
 		Sockets:  int(p.above("limits.sockets")),
 	}
+	if p.m["flow_bytes_per_s"] != "" {
+		c.Flow = p.above("flow_bytes_per_s")
+	}
 	seed, err := strconv.ParseUint(p.need("seed", "16 hex digits"), 16, 64)
 	if err != nil {
 		p.fail("seed", "%q is not 16 hex digits", p.m["seed"])
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -63,7 +63,7 @@
 		t.Errorf("text %+v\nJSON %+v", s, c.Settings)
 	}
 	if c.Settings.Seed != 0x8c1f30d27a5be964 || c.DialTimeout != 250*time.Millisecond || c.Streams != defaultStreams ||
-		c.Sockets != 4096 || len(c.Known) != 1 || c.Last != 1 || c.Vhosts[1] != "log" {
+		c.Sockets != 4096 || len(c.Known) != 1 || c.Last != 1 || c.Vhosts[1] != "log" || c.Flow != 310000 {
 		t.Errorf("%+v", c)
 	}
 	if c, err = Parse([]byte(good), "n9", "127.0.0.1:9"); err != nil || c.Name != "n9" || c.Listen.Port() != 9 {
@@ -82,6 +82,7 @@
 		{`"zone":1`, `"zone":"east"`, "settings.zone"}, {`"site":"east, far"`, `"site":"south"`, "known.entries.0.hosts.hosts.0.site"},
 		{`"rampTime":17000000,`, ``, "settings.rules.rampTime"}, {`"instances":3,`, ``, "settings.instances"},
 		{`"midKind":1`, `"midKind":1,"canJoin":"yes"`, "settings.domain.canJoin"}, {`"me":2`, `"me":2,"weightKind":"big"`, "settings.weightKind"},
+		{`"flow_bytes_per_s":310000`, `"flow_bytes_per_s":0`, "flow_bytes_per_s"},
 		{`"midKind":1`, `"midKind":1,"noteLevel":"some"`, "settings.domain.noteLevel"}, {`"cancel":true`, `"cancel":true,"probing":1`, "settings.limits.probing"},
 	} {
 		bad := strings.Replace(good, c[0], c[1], 1)
--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -593,8 +594,13 @@
 }
 
 // fit smooths sending times and how far the time taken lies from the time expected, of the cache as well.
+// The bytes that came tell what sending took, else hits do. Guards against taking a large answer for a jam.
 func (x *dispatch) fit(d *Director, o Outcome) {
 	r, v := x.r, x.r.v
+	told := min(o.Sending, o.Took) // a quick machine takes less
+	if told > 0 {
+		r.part.send = told
+	}
 	ratio := float64(o.Took) / float64(d.expected(r)+overhead)
 	v.dev += (math.Abs(ratio-v.mean) - v.dev) * settle
 	v.mean += (ratio - v.mean) * settle
@@ -605,18 +611,21 @@
 	}
 	if r.kb > 0 && d.set.kbPerMilli > 0 {
 		v.send += time.Duration(float64(d.expected(r)-v.send) * settle)
-	} else if o.Fill == Hit || o.Fill == Untold || v.Write {
+	} else if told > 0 || o.Fill == Hit || o.Fill == Untold || v.Write {
+		took := cmp.Or(told, o.Took)
 		v.hits++
-		v.send += time.Duration(float64(o.Took-v.send) * max(settle/4, 1/v.hits))
-		if v.hits > 1/settle || v.Write { // a mean of many, but for writes, which are rare and alike
+		v.send += time.Duration(float64(took-v.send) * max(settle/4, 1/v.hits))
+		if told > 0 {
+			v.least = v.send
+		} else if v.hits > 1/settle || v.Write { // a mean of many, but for writes, which are rare and alike
 			v.least = min(v.least, v.send) // crowding must not pass for size
 		}
-		if r.obj.send == 0 || o.Took < r.obj.send {
-			r.obj.send = o.Took
+		if r.obj.send == 0 || took < r.obj.send && told == 0 {
+			r.obj.send = took
 		}
-		r.obj.send += time.Duration(float64(o.Took-r.obj.send) * settle)
-		if r.part.send == 0 || o.Took < r.part.send {
-			r.part.send = o.Took
+		r.obj.send += time.Duration(float64(took-r.obj.send) * settle)
+		if r.part.send == 0 || took < r.part.send {
+			r.part.send = took
 		}
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -789,3 +789,32 @@
 		}
 	}
 }
+
+// Where the bytes of an answer tell its size, a large one that took long is no jam: its room stays, its cache is not strained,
+// and its like are expected to take as long. Untold, each such answer narrows the link.
+func TestSizeToldIsNoJam(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		w := calm(t, 3)
+		w.d.lateShare = 0.2
+		for obj := range uint64(12) {
+			o := Outcome{Ending: Done, Fill: Filled, Took: 1300 * ms}
+			if told {
+				o.Sending = 900 * ms // its aim is 400 ms and twice that
+			}
+			w.serve(0, 1+obj, 1300*ms, o)
+		}
+		if kept := w.d.linkRoom.most >= linkAtStart; kept != told {
+			t.Errorf("told %v: the link's room is %.1f", told, w.d.linkRoom.most)
+		}
+		if v := w.d.vhosts[0]; told && (v.least < 800*ms || v.send < 800*ms) {
+			t.Errorf("answers of 900 ms are expected to take %v", v.least)
+		}
+		strained := false
+		for _, c := range w.d.caches {
+			strained = strained || w.d.strain(c) > crowdStrain
+		}
+		if told && strained {
+			t.Error("a cache counts as strained for the size of what it sent")
+		}
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -161,6 +161,7 @@
 	Ending   Ending
 	Took     time.Duration
 	Waited   time.Duration // to the source's first byte or failure; 0: not told
+	Sending  time.Duration // what sending the answer alone takes by its bytes; 0: not told
 	Fill     Fill
 	Final    bool // the req is finished, by this or before it
 	Held     bool // the director itself was held back meanwhile: the times tell nothing
@@ -250,7 +251,7 @@
 	filling *dispatch // a fill of ours that is under way
 	behind  []*req    // reqs that wait for it
 	held    []copyAt
-	send    time.Duration // least time that sending it took, where sizes are not told
+	send    time.Duration // what sending it takes: by its bytes, else the least that it took
 }
 
 // state of a req
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -932,3 +932,14 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 }
+
+// What sending takes comes from the answer's bytes and the pace that the configuration tells; an empty one tells nothing.
+func TestSendingByBytes(t *testing.T) {
+	d := &Director{conf: &config.Config{Flow: 5000}}
+	if got := d.sending(2255); got != 451*time.Millisecond || d.sending(0) != 0 {
+		t.Errorf("%v for 2255 bytes, %v for none", got, d.sending(0))
+	}
+	if d.conf.Flow = 0; d.sending(2255) != 0 {
+		t.Error("a size without a pace")
+	}
+}
--- a/director/req.go
+++ b/director/req.go
@@ -232,6 +232,9 @@
 	defer d.mu.Unlock()
 	o := control.Outcome{Dispatch: x.number, Ending: x.ending.outcome(), Took: x.took, Waited: x.answer.Waited,
 		Fill: x.answer.Fill, Final: !r.owed, Held: x.held}
+	if o.Ending == control.Done {
+		o.Sending = d.sending(len(x.answer.Body))
+	}
 	if o.Ending == control.Done && r.owed {
 		r.owed, won, o.Final = false, true, true
 	}
@@ -239,6 +242,15 @@
 	return won
 }
 
+// sending is what so many bytes take at full pace; 0: the configuration tells no pace, or there are none, as where the
+// client's own copy is the one.
+func (d *Director) sending(bytes int) time.Duration {
+	if d.conf.Flow <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / d.conf.Flow * float64(time.Second))
+}
+
 func (r *req) tellLeft() {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -66,7 +66,7 @@
 		parts, writes = append(parts, v.InParts), append(writes, v.Write)
 	}
 	return json.MarshalIndent(map[string]any{
-		"name": name, "listen": listen, "journal": journal, "seed": fmt.Sprintf("%016x", seed), "known": known,
+		"name": name, "listen": listen, "journal": journal, "seed": fmt.Sprintf("%016x", seed), "known": known, "flow_bytes_per_s": float64(f.Flow),
 		"limits": map[string]any{"cores": f.Directors.Cores, "memory_mb": int(f.Directors.Memory / 1e6), "sockets": f.Directors.Sockets},
 		"settings": map[string]any{
 			"classes": classes, "zone": zone, "zones": zones, "models": []string{"cache", "parent", "origin"},
--- a/plan/play.go
+++ b/plan/play.go
@@ -260,13 +260,14 @@
 }
 
 type sent struct {
-	i      *instance
-	id     uint32
-	number int
-	node   uint32
-	ask    uint64
-	at     time.Duration
-	over   bool
+	i       *instance
+	id      uint32
+	number  int
+	node    uint32
+	ask     uint64
+	at      time.Duration
+	sending time.Duration // of its bytes alone
+	over    bool
 }
 
 func (p *play) later(wait time.Duration, do func()) {
@@ -341,7 +342,7 @@
 		o := control.Outcome{Dispatch: x.number, Took: p.now - x.at, Waited: a.Waited, Fill: a.Fill}
 		switch a.Word {
 		case model.Done:
-			o.Ending = control.Done
+			o.Ending, o.Sending = control.Done, x.sending
 		case model.None:
 			o.Ending = control.Miss
 		case model.Full:
@@ -459,7 +460,8 @@
 func (i *instance) Dispatch(id uint32, o control.Order) {
 	p, a := i.p, i.open[id]
 	p.last++
-	x := &sent{i: i, id: id, number: len(a.out), node: o.Node, ask: p.last, at: p.now}
+	x := &sent{i: i, id: id, number: len(a.out), node: o.Node, ask: p.last, at: p.now,
+		sending: time.Duration(float64(a.q.Bytes) / float64(p.f.Flow) * float64(time.Second))}
 	a.out = append(a.out, x)
 	if up, _, _ := p.w.Up(o.Node); !up {
 		p.later(0, func() { i.ended(x, control.Outcome{Dispatch: x.number, Ending: control.NoConnect}) })
