What costs more for its value has less room also where all aims are loose

Both vhosts leave so many sending times (70 and 16) that both had the widest room, slack's cap; before, answers held up by the jam passed for large ones and set clips back by chance. Ruled out one by one there: strain in guard and in crowding, blame by the share of late answers, sizes told by fills alone.

Change: slack is taken by the loosest vhost where that leaves more than the widest room stands for.

--- a/control/control.go
+++ b/control/control.go
@@ -48,7 +48,7 @@
 	unsized     = 1.1  // times as long where the size is not known: the req may just be large
 	crowdSign   = 8    // and such a late answer counts this multiple of the share of late ones
 	usualSlack  = 4    // an aim of so many sending times gets the room as it is,
-	mostSlack   = 2    // a tighter one less, a looser one up to this multiple
+	mostSlack   = 2.0  // a tighter one less, a looser one up to this multiple; all less where most are looser
 
 	overhead  = 100 * time.Millisecond  // ways and handshakes, on top of sending
 	waitDevs  = 4.0                     // overdue: this many mean deviations over the mean,
@@ -671,7 +671,8 @@
 // slack widens the room for a req whose aim leaves it many sending times, and narrows it for one that a
 // little crowding makes late: under pressure what costs most for its value is denied first.
 func (d *Director) slack(r *req) float64 {
-	return min(mostSlack, float64(d.aim(r))/float64(d.expected(r)+1)/usualSlack)
+	loose := float64(d.aim(r)) / float64(d.expected(r)+1) / usualSlack
+	return min(mostSlack, loose*min(1, mostSlack*usualSlack/d.loosest()))
 }
 
 // atStart is this director's part of a starting room.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -818,3 +818,16 @@
 		}
 	}
 }
+
+// Where every aim leaves many sending times, what costs more for its value has less room all the same.
+func TestWhatCostsMoreIsDeniedFirst(t *testing.T) {
+	w := calm(t, 3)
+	w.d.vhosts[0].Stretch, w.d.vhosts[1].Stretch = 0, 0
+	for i, send := range []time.Duration{40 * ms, 7 * ms} { // aims of 400 and 250 ms: 10 and 36 times as long
+		w.d.vhosts[i].send, w.d.vhosts[i].least = send, send
+	}
+	slack := func(vhost int) float64 { return w.d.slack(w.d.reqs[w.ask(vhost, uint64(70+vhost), 0)]) }
+	if large, small := slack(0), slack(1); small < 0.99*mostSlack || large > small/2 {
+		t.Errorf("room by %.2f for what takes 40 ms, by %.2f for what takes 7", large, small)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -385,6 +385,18 @@
 	}
 }
 
+// loosest is how many sending times the aim of a usual req leaves, in the vhost where that is most. Writes do not
+// count: they wait for no room.
+func (d *Director) loosest() (most float64) {
+	for _, v := range d.vhosts {
+		if !v.Write {
+			send := max(v.least, time.Millisecond)
+			most = max(most, float64(min(v.Timeout, v.Aim+time.Duration(v.Stretch*float64(send))))/float64(send))
+		}
+	}
+	return most
+}
+
 // others counts the caches but n that are not set aside.
 func (d *Director) others(now time.Duration, n *node) (count int) {
 	for _, c := range d.caches {
