A look takes a copy past its fresh time, since nothing younger is to be had

Need: with no room for a fill a req looks for what its cache holds, and is denied on a miss. The first dispatch of a req asked for fresh copies only; one past its fresh time, within the grace that the settings allow, is worth half and more, a denial nothing.

--- a/control/control.go
+++ b/control/control.go
@@ -131,7 +131,8 @@
 		src, held = c, false
 	}
 	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look, held: held}
-	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r), Rank: d.rank(now, r, c, order)}
+	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r, look),
+		Rank: d.rank(now, r, c, order)}
 	o.Join = d.set.joins    // of another director: where joins are free, they fill once
 	o.Renew = r.v.Fresh > 0 // acts on a hit: others asked before, if not of this director
 	d.send(now, r, x, o)
@@ -314,10 +315,10 @@
 }
 
 // age is the oldest copy that will do: none from before a purge that was heard of. It is never 0 then,
-// which would mean any. A further dispatch takes a copy past its fresh time rather than none.
-func (d *Director) age(now time.Duration, r *req) time.Duration {
+// which would mean any. Looks and further dispatches take a copy past its fresh time rather than none.
+func (d *Director) age(now time.Duration, r *req, look bool) time.Duration {
 	most := r.v.Fresh
-	if most > 0 && len(r.sent) > 0 {
+	if most > 0 && (look || len(r.sent) > 0) {
 		most += r.v.Grace
 	}
 	if at := d.purgedAt(r.obj); at > -d.set.purgeSettles {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -386,6 +386,10 @@
 	if len(a.tries) != 1 || w.last.Source != w.last.Node || !a.answered {
 		t.Errorf("%d dispatches, source %d at %d, answered %v", len(a.tries), w.last.Source, w.last.Node, a.answered)
 	}
+	w.serve(1, 8, 0, Outcome{Ending: Miss})
+	if v := w.d.vhosts[1]; w.last.Age != v.Fresh+v.Grace {
+		t.Errorf("a look takes copies of %v, not past their fresh time", w.last.Age)
+	}
 }
 
 // What machines took of us stands through an outage: budgets of the cold go by it when they return.
