Late answers of unknown size weigh half as much; one sent object tells its parts' sizes

What hits of an object's other parts took stands for its size now, and a late answer of unknown size counts by four times the share of late ones, before by eight.

--- a/control/control.go
+++ b/control/control.go
@@ -46,7 +46,7 @@
 	roomFalls   = 0.25 // of a room, at most one, that a late answer takes where many share
 	timely      = 0.85 // of its aim: an answer at its aim is a jam begun
 	unsized     = 1.1  // times as long where the size is not known: the req may just be large
-	crowdSign   = 8    // and such a late answer counts this multiple of the share of late ones
+	crowdSign   = 4    // and such a late answer counts this multiple of the share of late ones
 	usualSlack  = 4    // an aim of so many sending times gets the room as it is,
 	mostSlack   = 2.0  // a tighter one less, a looser one up to this multiple; all less where most are looser
 
--- a/control/state.go
+++ b/control/state.go
@@ -166,8 +166,9 @@
 	return r.v.least
 }
 
-// sized tells whether the sending time of a req is known: its size is told, or the part was sent before.
-func (d *Director) sized(r *req) bool { return r.kb > 0 || r.part.send > 0 }
+// sized tells whether the sending time of a req is known: its size is told, or the object, whose parts are much alike, was
+// sent before.
+func (d *Director) sized(r *req) bool { return r.kb > 0 || r.obj.send > 0 }
 
 // give adds to the share of one cache.
 func (p *part) give(j *node, by float64) {
