--- a/config/config.go
+++ b/config/config.go
@@ -19,6 +19,7 @@
 // Config is what one real director is told, checked.
 type Config struct {
 	Name     string
+	Written  string // name and listen as the file has them, whatever goes before it
 	Listen   netip.AddrPort
 	Journal  netip.AddrPort
 	Cores    float64
@@ -33,6 +34,8 @@
 	ConnIdle    time.Duration // after which nodes close one
 	Streams     int           // reqs that one carries at a time
 	MostOpen    int           // reqs held at a time
+	DrainGrace  time.Duration // after word of a drain, in which a node may still get something new; 0: not told
+	PurgeGrace  time.Duration // after word of a purge, in which older copies may still be served; 0: not told
 	Flow        float64       // bytes a second of one answer at full pace; 0: not told
 
 	Settings control.Settings
@@ -78,6 +81,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
+	written := p.m["name"] + " at " + p.m["listen"]
 	if name != "" {
 		p.m["name"] = name
 	}
@@ -86,6 +90,7 @@
 	}
 	c := &Config{
 		Name:     p.need("name", "the director's name"),
+		Written:  written,
 		Listen:   p.addr("listen"),
 		Journal:  p.addr("journal"),
 		Cores:    p.above("limits.cores"),
@@ -154,6 +159,7 @@
 	c.ConnIdle = cmp.Or(max(0, p.micros("limits.connIdle")), defaultConnIdle)
 	c.Streams = cmp.Or(max(0, p.whole("limits.maxStreams")), defaultStreams)
 	c.MostOpen = cmp.Or(max(0, p.whole("limits.maxOpen")), defaultMostOpen)
+	c.DrainGrace, c.PurgeGrace = max(0, p.micros("rules.drainGrace")), max(0, p.micros("domain.heedWithin"))
 	c.Settings = settings(p)
 	c.Settings.Seed = seed
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -66,7 +66,8 @@
 		c.Sockets != 4096 || len(c.Known) != 1 || c.Last != 1 || c.Vhosts[1] != "log" || c.Flow != 310000 {
 		t.Errorf("%+v", c)
 	}
-	if c, err = Parse([]byte(good), "n9", "127.0.0.1:9"); err != nil || c.Name != "n9" || c.Listen.Port() != 9 {
+	if c, err = Parse([]byte(good), "n9", "127.0.0.1:9"); err != nil || c.Name != "n9" || c.Listen.Port() != 9 ||
+		c.Written != "n3 at 10.0.0.4:8443" {
 		t.Errorf("what goes before the file: %+v %v", c, err)
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -133,6 +133,9 @@
 	x := &dispatch{r: r, number: len(r.sent), node: c, source: src, at: now, expectHit: hit || look, held: held}
 	o := Order{Node: c.id, Source: src.id, HeldOnly: held, Age: d.age(now, r, look),
 		Rank: d.rank(now, r, c, order)}
+	if r.mayRun != nil && r.v.Effect == Uniqued {
+		o.Until = r.repeats() // also where it waits for a connection
+	}
 	o.Join = d.set.joins    // of another director: where joins are free, they fill once
 	o.Renew = r.v.Fresh > 0 // acts on a hit: others asked before, if not of this director
 	d.send(now, r, x, o)
@@ -227,7 +230,7 @@
 	if r.mayRun == nil || r.v.Effect == Replayable {
 		return true
 	}
-	if r.v.Effect == NonReplayable || now >= r.mayRun.at+r.v.Window-answerEarly {
+	if r.v.Effect == NonReplayable || now >= r.repeats() {
 		return false
 	}
 	switch r.v.Group {
@@ -239,6 +242,9 @@
 	return true
 }
 
+// repeats is until when a repeat of a uniqued req is dropped.
+func (r *req) repeats() time.Duration { return r.mayRun.at + r.v.Window - answerEarly }
+
 // holds tells whether a cache very probably has the part: it was seen there lately.
 func (d *Director) holds(now time.Duration, r *req, c *node) bool {
 	for _, h := range r.part.held {
--- a/control/types.go
+++ b/control/types.go
@@ -19,6 +19,7 @@
 	Node     uint32
 	Source   uint32        // who fills a miss; the node itself: nobody
 	Timeout  time.Duration // 0: until the client gives up
+	Until    time.Duration // since the director's start: not to be begun then or later; 0: none
 	Age      time.Duration // the oldest copy that will do; 0: the vhost's fresh time
 	Rank     uint8         // 0: keep nothing, else 1 to 3
 	HeldOnly bool          // the source gives only what it holds
--- a/director/client.go
+++ b/director/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -14,32 +15,46 @@
 )
 
 const (
-	firstTime   = 2 * time.Second      // from connecting until a whole message has come
-	clientIdle  = 6 * time.Second      // without an open req; clients close theirs sooner
-	messageTime = 2 * time.Second      // that one message may take once it has begun
-	lingerTime  = time.Second          // for an error to arrive before its connection is closed
-	writeTime   = 10 * time.Second     // that one answer may take to leave; after that the client is gone
-	openEach    = 40                   // reqs of one client: some more than it may have open, as answers are under way
-	tasksEach   = 64                   // their tasks, as ended ones linger
-	unfitFree   = 4                    // messages in a row that are of no use to anybody; then each costs the client
-	unfitPause  = 5 * time.Millisecond // more before the next is read,
-	unfitMost   = 40                   // up to so many times as much
+	firstTime   = 2 * time.Second        // from connecting until a whole message has come
+	clientIdle  = 6 * time.Second        // without an open req; clients close theirs sooner
+	messageTime = 2 * time.Second        // that one message may take once it has begun
+	goodbye     = 200 * time.Millisecond // without a byte after the last answer: it has arrived
+	lingerTime  = time.Second            // and at most that long, whatever the client still writes
+	partLook    = 10 * time.Millisecond
+	writeTime   = 10 * time.Second      // that one answer may take to leave; after that the client is gone
+	openEach    = 40                    // reqs of one client: some more than it may have open, as answers are under way
+	tasksEach   = 64                    // their tasks, as ended ones linger
+	shortEach   = 256                   // short answers that wait for a client that does not read
+	pendingMost = 20 * time.Millisecond // that a call may wait for the rest of what has come to be read
+	unfitFree   = 4                     // messages in a row that are of no use to anybody; then each costs the client
+	unfitPause  = time.Millisecond      // before the next is read: all that one within its bounds may write are read in 0.1 s
+	unfitMost   = 400                   // in a row end its connection
 )
 
-var errAgain = errors.New("a message id is used again while it is open")
+var (
+	errAgain = errors.New("a message id is used again while it is open")
+	errUnfit = errors.New("nothing but messages of no use")
+)
 
-// client is one connection of a client.
+// client is one connection of a client. Its reader alone decides that it ends, so that no call is read and then left lying.
 type client struct {
 	d     *Director
 	nc    net.Conn
 	tasks chan struct{} // a place for each req's task
 
-	mu     sync.Mutex
-	open   map[uint32]*req // by message id; until the answer is written
-	asked  bool            // a whole message has come
-	heard  time.Duration   // when one came or was answered last, or the connection
-	shut   bool
-	closes *time.Timer // set once no more is answered
+	pending []*req // the reader's: calls read, begun once nothing more lies unread
+
+	mu      sync.Mutex
+	open    map[uint32]*req // by message id; until the answer is written
+	short   [][]byte        // answers to be written by the poster
+	posting bool            // it runs
+	asked   bool            // a whole message has come
+	heard   time.Duration   // when one came or was answered last, or the connection
+	amid    bool            // a message has begun to come
+	told    bool            // it is to end as soon as nothing is open
+	over    bool            // nothing more is taken
+	said    bool            // nothing more is answered
+	shut    bool            // closed
 
 	writing sync.Mutex
 	bodies  atomic.Int64 // bytes held for it
@@ -52,60 +67,172 @@
 		heard: d.clock.now()}
 }
 
-// read takes the connection's messages until it ends, then tells the reqs open on it that their client left.
+// eager reads what has come, and says so before it waits for more.
+type eager struct {
+	nc    net.Conn
+	raw   syscall.RawConn // nil: cannot tell whether something lies unread
+	quiet func()
+}
+
+func newEager(nc net.Conn, quiet func()) *eager {
+	e := &eager{nc: nc, quiet: quiet}
+	if sc, ok := nc.(syscall.Conn); ok {
+		e.raw, _ = sc.SyscallConn()
+	}
+	return e
+}
+
+func (e *eager) Read(b []byte) (n int, err error) {
+	if e.raw == nil {
+		e.quiet()
+		return e.nc.Read(b)
+	}
+	waited := e.raw.Read(func(fd uintptr) bool {
+		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; n, err = syscall.Read(int(fd), b) {
+		}
+		if err == syscall.EAGAIN {
+			e.quiet()
+			return false
+		}
+		return true
+	})
+	switch {
+	case waited != nil:
+		return 0, waited
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", err)}
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// read takes the connection's messages until it ends, then tells the reqs open on it that their client left. It waits for
+// nothing but messages, so that a cancel or the end of the stream is seen at once; what came while the process was held
+// back is read to its end before any of it is begun, since its end may say that nobody waits any more.
 func (c *client) read() {
-	buffered := bufio.NewReaderSize(c.nc, 4<<10)
+	from := newEager(c.nc, c.begin)
+	buffered := bufio.NewReaderSize(from, 4<<10)
 	in := msgpack.NewReader(buffered)
-	c.nc.SetReadDeadline(time.Now().Add(firstTime))
-	for first := true; ; first = false {
-		if !first {
-			c.nc.SetReadDeadline(time.Now().Add(clientIdle))
-			if _, err := buffered.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
-				if _, _, idle := c.silence(); !idle {
-					continue
-				}
-				c.close(Stopped, nil)
-				return
+	e, err := Stopped, error(nil)
+	for e == Stopped && err == nil && c.await(buffered) {
+		var m msgpack.Message
+		if m, err = in.Read(); err == nil {
+			err = c.take(m)
+		}
+		if err != nil {
+			if e = endingOf(err); m.Numbered && e == Unreadable {
+				c.post(msgpack.Aborted(m.ID, err.Error()))
 			}
-			c.nc.SetReadDeadline(time.Now().Add(messageTime))
 		}
 		if n := c.unfit.Load(); n > unfitFree { // it may write at full speed what costs us more than it
-			time.Sleep(time.Duration(min(n, unfitMost)) * unfitPause)
-		}
-		m, err := in.Read()
-		if err != nil {
-			if m.Numbered && endingOf(err) == Unreadable {
-				c.refuse(m.ID, err)
+			time.Sleep(unfitPause)
+			if n > unfitMost && err == nil {
+				e, err = Unreadable, errUnfit
 			}
-			c.close(endingOf(err), err)
-			return
 		}
-		came := c.d.clock.arrived()
+	}
+	c.part(from, e, err)
+	c.begin() // their client has left: none is
+}
+
+// await waits for a message to begin. It tells false once nothing more is to be taken: the client has been silent for long,
+// or is told to end, and nothing of its is open or lies unread.
+func (c *client) await(in *bufio.Reader) bool {
+	for {
 		c.mu.Lock()
-		c.asked, c.heard = true, came
+		c.amid = false
+		limit := clientIdle
+		if !c.asked {
+			limit = firstTime
+		}
+		wait := c.heard + limit - c.d.clock.now()
+		switch idle := c.idle(); {
+		case idle && (c.told || wait <= 0) && !c.unread():
+			c.over = true
+			c.mu.Unlock()
+			return false
+		case !idle:
+			wait = clientIdle
+		case c.told || wait <= 0: // what lies there is read now
+			wait = messageTime
+		}
+		c.nc.SetReadDeadline(time.Now().Add(wait))
 		c.mu.Unlock()
-		switch m.Kind {
-		case msgpack.Call:
-			if err := c.call(newReq(c.d, c, m, came)); err != nil {
-				c.close(Unreadable, err)
-				return
-			}
-		case msgpack.Alive:
-			c.write(msgpack.Ready(m.ID, !c.d.leaving.Load()))
-		case msgpack.Cancel:
+		_, err := in.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.mu.Lock()
-			r := c.open[m.ID]
+			c.amid = true
+			c.nc.SetReadDeadline(time.Now().Add(messageTime))
 			c.mu.Unlock()
-			if r != nil {
-				r.leave()
-			}
+			return true // an end of the stream as well: reading meets it again
+		}
+	}
+}
+
+// part is the one way in which connections end that are not broken. What is open is answered, then the client sees the end
+// of the stream. What it writes until it has closed as well is read and thrown away, within a bound: a close over unread
+// bytes would take back answers that are under way.
+func (c *client) part(in io.Reader, e Ending, err error) {
+	c.mu.Lock()
+	c.over = true
+	c.mu.Unlock()
+	switch e {
+	case Closed, Cut:
+		c.close(e, err)
+		return
+	}
+	c.begin()
+	var quiet, end time.Time
+	for b := make([]byte, 16<<10); ; {
+		c.nc.SetReadDeadline(time.Now().Add(partLook))
+		n, gone := in.Read(b)
+		if n == len(b) {
+			time.Sleep(unfitPause) // it may write for as long as its reqs are open
+		}
+		if gone != nil && !errors.Is(gone, os.ErrDeadlineExceeded) {
+			break
+		}
+		now := time.Now()
+		if n > 0 {
+			quiet = now.Add(goodbye)
+		}
+		switch {
+		case end.IsZero() && c.sayNoMore():
+			quiet, end = now.Add(goodbye), now.Add(lingerTime)
+		case !end.IsZero() && (now.After(quiet) || now.After(end)):
+			c.close(e, err)
+			return
 		}
 	}
+	c.close(e, err)
 }
 
-// call starts a req's task, or denies the req at once where there are too many.
+// take follows one message.
+func (c *client) take(m msgpack.Message) error {
+	came := c.d.clock.arrived()
+	c.mu.Lock()
+	c.asked, c.heard = true, came
+	c.mu.Unlock()
+	switch m.Kind {
+	case msgpack.Call:
+		return c.call(newReq(c.d, c, m, came))
+	case msgpack.Alive:
+		c.post(msgpack.Ready(m.ID, !c.d.leaving.Load()))
+	case msgpack.Cancel:
+		c.mu.Lock()
+		r := c.open[m.ID]
+		c.mu.Unlock()
+		if r != nil {
+			r.leave()
+		}
+	}
+	return nil
+}
+
+// call puts a req on record, and denies it at once where there are too many.
 func (c *client) call(r *req) error {
-	open, ok := c.take(r)
+	open, ok := c.enter(r)
 	if !ok {
 		return errAgain // two answers under one id would be ambiguous
 	}
@@ -113,20 +240,31 @@
 		r.turnAway()
 		return nil
 	}
-	select {
-	case c.tasks <- struct{}{}:
-		go func() {
-			r.live()
-			<-c.tasks
-		}()
-	default:
-		r.turnAway()
+	if c.pending = append(c.pending, r); len(c.pending) >= openEach || r.came-c.pending[0].came > pendingMost {
+		c.begin()
 	}
 	return nil
 }
 
-// take puts a req on record unless its message id is in use, and tells how many are open with it.
-func (c *client) take(r *req) (open int, ok bool) {
+// begin starts the tasks of the calls read, but of those whose client has left.
+func (c *client) begin() {
+	for _, r := range c.pending {
+		select {
+		case c.tasks <- struct{}{}:
+			go func() {
+				r.live()
+				<-c.tasks
+			}()
+		default:
+			r.turnAway()
+		}
+	}
+	clear(c.pending)
+	c.pending = c.pending[:0]
+}
+
+// enter puts a req on record unless its message id is in use, and tells how many are open with it.
+func (c *client) enter(r *req) (open int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open[r.msg.ID] != nil {
@@ -143,6 +281,14 @@
 	if c.open[r.msg.ID] == r {
 		delete(c.open, r.msg.ID)
 		c.heard = c.d.clock.now()
+		c.look()
+	}
+}
+
+// look has the reader see, under the lock, whether the connection is to end.
+func (c *client) look() {
+	if c.told && !c.over && !c.amid && c.idle() {
+		c.nc.SetReadDeadline(time.Now())
 	}
 }
 
@@ -151,9 +297,12 @@
 func (c *client) silence() (heard time.Duration, asked, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.heard, c.asked, len(c.open) == 0
+	return c.heard, c.asked, c.idle()
 }
 
+// idle tells, under the lock, whether nothing is owed.
+func (c *client) idle() bool { return len(c.open) == 0 && !c.posting }
+
 // unread tells whether bytes have come that were not read yet.
 func (c *client) unread() (some bool) {
 	sc, ok := c.nc.(syscall.Conn)
@@ -194,22 +343,59 @@
 	return len(open), first
 }
 
-// refuse answers a message that cannot be read on from. What else the client still writes is not read, whatever its
-// size, but the connection is kept for a while: closing over bytes that are not read may take the answer back.
-func (c *client) refuse(id uint32, why error) {
-	c.write(msgpack.Aborted(id, why.Error()))
-	c.sayNoMore()
-	time.Sleep(lingerTime)
+// sayNoMore lets the other side see the end of the stream while the connection stays, once nothing is owed.
+func (c *client) sayNoMore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.said = c.said || c.idle(); !c.said {
+		return false
+	}
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	return true
 }
 
-// sayNoMore lets the other side see the end of the stream while the connection stays.
-func (c *client) sayNoMore() {
-	if half, ok := c.nc.(*net.TCPConn); ok {
-		half.CloseWrite()
+// end has the connection end as soon as nothing is open on it. Its reader decides when that is.
+func (c *client) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = true
+	c.look()
+}
+
+// post sends a short answer, and does not wait for a client that does not read.
+func (c *client) post(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.short) >= shortEach {
+		go c.close(Stalled, nil)
+		return
+	}
+	c.short = append(c.short, b)
+	if !c.posting {
+		c.posting = true
+		go c.poster()
+	}
+}
+
+// poster writes short answers until none is left.
+func (c *client) poster() {
+	for {
+		c.mu.Lock()
+		short := c.short
+		if c.short = nil; len(short) == 0 || c.shut {
+			c.posting = false
+			c.look()
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+		c.write(short...)
 	}
 }
 
-// write sends one answer whole.
+// write sends answers whole.
 func (c *client) write(parts ...[]byte) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -219,15 +405,3 @@
 		c.close(endingOf(err), err)
 	}
 }
-
-// finish tells a client that has all its answers that no more will come, and gives it time to close: closing
-// over bytes that are not read would take back answers that are under way.
-func (c *client) finish(within time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closes != nil || len(c.open) > 0 {
-		return
-	}
-	c.closes = time.AfterFunc(within, func() { c.close(Stopped, nil) })
-	c.sayNoMore()
-}
--- /dev/null
+++ b/director/client_test.go
@@ -0,0 +1,221 @@
+package director
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/msgpack"
+)
+
+func TestClientCancels(t *testing.T) {
+	w := start(t, 1)
+	id := w.call("page", 5000, "")
+	a := w.next("GET")
+	w.write("\x93\x02" + str("cancelRequest") + "\x91" + string(rune(id)))
+	if drop := w.next("DROP"); drop.id != a.id {
+		t.Errorf("dropped %q", drop.id)
+	}
+	a.reply(t, "HIT", "-", "nobody waits")
+	w.serves("page", "", "-", "here")
+}
+
+// A client that leaves before its req's first order is followed: the dispatch must end all the same, or the module counts
+// it as out for good and in the end denies all. Nothing is sent. One that leaves before the module has its req costs nothing.
+func TestClientLeavesBeforeTheOrderIsFollowed(t *testing.T) {
+	w := start(t, 1)
+	c := newClient(w.d, nil)
+	for i := range 64 {
+		r := newReq(w.d, c, msgpack.Message{Vhost: "log", Idem: "7", Req: fmt.Sprintf("%016x", i+1), Obj: "00000000000000a1",
+			Body: []byte("x"), Timeout: time.Second}, w.d.clock.now())
+		w.d.mu.Lock()
+		ended := make(chan struct{})
+		go func() {
+			r.live()
+			close(ended)
+		}()
+		for w.d.bodies.Load() == 0 { // until it is about to enter
+			time.Sleep(10 * time.Microsecond)
+		}
+		r.leave()
+		w.d.mu.Unlock()
+		<-ended
+		if len(r.sent) != 1 || !r.sent[0].over || r.sent[0].conn != nil || len(r.todo) > 0 {
+			t.Fatalf("req %d: %d dispatches, %d orders not followed", i, len(r.sent), len(r.todo))
+		}
+	}
+	r := newReq(w.d, c, msgpack.Message{Vhost: "page"}, w.d.clock.now())
+	r.leave()
+	if r.live(); len(r.sent) > 0 || r.settled != "left" {
+		t.Errorf("%d dispatches, %q", len(r.sent), r.settled)
+	}
+}
+
+// What cannot be read costs its own connection only.
+func TestUnreadable(t *testing.T) {
+	w := start(t, 2)
+	other := dial(t, w.nc.RemoteAddr().String())
+	other.Write([]byte("\x94\x00\x01\xdb\xff\xff\xff\xff"))
+	if said, err := io.ReadAll(other); err != nil || !strings.Contains(string(said), "Fault") {
+		t.Errorf("told %q, then %v", said, err)
+	}
+	id := w.call("nothing of ours", 5000, "")
+	if gotID, word, _ := w.answer(); gotID != id || word != "Fault" {
+		t.Errorf("%d %q", gotID, word)
+	}
+	id = w.call("page", 5000, "")
+	a := w.next("GET")
+	asked{id: "00000000000000ff", conn: a.conn}.reply(t, "HIT", "-", "to nobody")
+	a.reply(t, "HIT", "-", "to this one")
+	w.expect(id, "", "to this one")
+	a.reply(t, "HIT", "-", "a second copy")
+	if b := w.serves("page", "", "-", "next"); b.conn != a.conn {
+		t.Error("answers that nobody asked for cost the connection")
+	}
+}
+
+// Reqs that no node could use are answered with an error, and no node gets them.
+func TestUnfitReqs(t *testing.T) {
+	w := start(t, 1)
+	open := w.call("page", 5000, "")
+	a := w.next("GET")
+	for _, c := range [][]string{
+		{"page", "i", "xyz"}, {"page", "i", ""}, {"page", "i", "0123456789ABCDEF"}, {"page", "o", "a1"}, {"page", "o", "noise"},
+		{"page", "n", "-1"}, {"page", "n", "1e9"}, {"page", "shard", "256"}, {"page", "shard", "no"}, {"page", "d", "-5"},
+		{"page", "d", "99999999999999"}, {"page", "d", "2000000"}, {"page", "mine", "a,b=c"}, {"log"}, {"log", "k", "a b"},
+		{"nothing of ours"}, {"page", "i", a.id},
+	} {
+		id := w.call(c[0], 5000, "", c[1:]...)
+		if gotID, word, why := w.answer(); gotID != id || word != "Fault" {
+			t.Errorf("%q: %d %q %s", c, gotID, word, why)
+		}
+	}
+	a.reply(t, "HIT", "-", "the first of the two")
+	w.expect(open, "", "the first of the two")
+	w.serves("page", "", "-", "fit again")
+}
+
+// Of hundreds of reqs at once most are turned away, with a time to come back, and the rest is served.
+func TestHundredsAtOnce(t *testing.T) {
+	w := start(t, 1)
+	const all = 300
+	for range all {
+		w.call("page", 5000, "", "o", fmt.Sprintf("%016x", w.lastID+1))
+	}
+	var asks []asked
+	denied := 0
+	for denied+len(asks) < all {
+		select {
+		case a := <-w.asks:
+			asks = append(asks, a)
+		default:
+			w.nc.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+			if _, err := w.in.Peek(1); err != nil {
+				continue
+			}
+			w.nc.SetReadDeadline(time.Now().Add(patience))
+			if _, word, rest := w.answer(); word != "Shed" || !strings.HasPrefix(rest, "w ") {
+				t.Fatalf("%q %q", word, rest)
+			}
+			denied++
+		}
+	}
+	if len(asks) > tasksEach {
+		t.Errorf("%d reqs of one client at nodes", len(asks))
+	}
+}
+
+// Clients that asked once and stay, or say nothing, make room for those who ask; one with a req open does not.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	w := start(t, 1)
+	first := w.call("page", 5000, "")
+	a := w.next("GET")
+	addr, open := w.nc.RemoteAddr().String(), w.nc
+	var stayed []net.Conn
+	for i := range 2 * w.d.bounds.clientSockets {
+		w.nc = dial(t, addr)
+		stayed = append(stayed, w.nc)
+		if i%2 == 0 {
+			w.in = bufio.NewReader(w.nc)
+			w.serves("log", "", "-", "once")
+		}
+	}
+	if n := w.d.clients.each(func(*client) {}); n > w.d.bounds.clientSockets {
+		t.Errorf("%d connections are held", n)
+	}
+	if _, err := stayed[0].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the one silent for longest: %v", err)
+	}
+	w.in = bufio.NewReader(open)
+	a.reply(t, "HIT", "-", "still here")
+	w.expect(first, "", "still here")
+}
+
+// A connection whose req lies unread does not make room: a director that was held back must not close over it.
+func TestUnreadReqsKeepTheirPlace(t *testing.T) {
+	w := start(t, 1)
+	l := listen(t)
+	accept := func(write string) *client {
+		nc := dial(t, l.Addr().String())
+		here, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(nc, write)
+		return newClient(w.d, here)
+	}
+	s := &clients{most: 2, all: map[*client]bool{}}
+	asks, mute, next := accept("a req"), accept(""), accept("")
+	for !asks.unread() {
+		time.Sleep(time.Millisecond)
+	}
+	for i, c := range []*client{asks, mute, next} {
+		if !s.admit(c, time.Duration(i)*time.Hour) {
+			t.Fatal("not admitted")
+		}
+	}
+	if !s.all[asks] || s.all[mute] {
+		t.Error("the one with a req unread made room")
+	}
+	next.mu.Lock()
+	next.open[1] = &req{}
+	next.mu.Unlock()
+	if s.admit(accept(""), 9*time.Hour) {
+		t.Error("admitted where nobody can make room")
+	}
+}
+
+// A connection that says nothing, or never comes to the end of its first message, is closed within the time owed.
+func TestNothingWhole(t *testing.T) {
+	w := start(t, 1)
+	mute, half := dial(t, w.nc.RemoteAddr().String()), dial(t, w.nc.RemoteAddr().String())
+	io.WriteString(half, "\x94\x00\x07\xa4page\x92")
+	for _, nc := range []net.Conn{mute, half} {
+		if _, err := io.ReadAll(nc); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A client that does not read holds up nobody else, and has its whole answer once it does.
+func TestSlowReader(t *testing.T) {
+	w := start(t, 1)
+	here, there := net.Pipe() // takes nothing that is not read
+	go newClient(w.d, here).read()
+	quick := w.nc
+	w.nc = there
+	first := w.call("log", 8000, "", "k", "7")
+	big := strings.Repeat("x", 240000)
+	w.next("GET").reply(t, "HIT", "-", big)
+	w.nc = quick
+	second := w.call("log", 8000, "", "k", "7")
+	w.next("GET").reply(t, "HIT", "-", "y")
+	w.expect(second, "", "y")
+	w.in = bufio.NewReader(there)
+	w.expect(first, "", big)
+	there.Close()
+}
--- a/director/conn.go
+++ b/director/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"net/netip"
@@ -17,7 +18,8 @@
 	stuckAfter = 200 * time.Millisecond // amid a message: nothing more is sent that way
 	answerTime = 3 * time.Second        // that one answer may take once it has begun,
 	answerStop = 500 * time.Millisecond // and that it may stop meanwhile
-	staleAfter = 300 * time.Millisecond // an order not written by then is void: list and purges may have changed
+	staleAfter = 300 * time.Millisecond // an order not begun by then is void, as list and purges may have changed,
+	staleParts = 3                      // or by this part of the shortest grace in the settings
 )
 
 // conn is one connection to a node; it carries many reqs. All but nc's reading and writing belongs to the lock
@@ -25,7 +27,9 @@
 type conn struct {
 	s       *nodes
 	n       *node
-	nc      net.Conn // nil until it is up
+	nc      net.Conn // nil until it is up; until then the dial holds its socket
+	dialing context.Context
+	giveUp  context.CancelFunc
 	open    map[string]*dispatch
 	retired bool // takes no more reqs, closes when the last has ended
 	ended   bool
@@ -99,43 +103,42 @@
 
 // run dials, then serves the connection until it ends.
 func (c *conn) run(addr netip.AddrPort) {
-	nc, err := c.s.dialer.Dial("tcp", addr.String())
-	if err != nil {
-		c.stop(endingOfDial(err), err)
-		return
-	}
-	if !c.up(nc) {
-		nc.Close()
+	nc, err := c.s.dialer.DialContext(c.dialing, "tcp", addr.String())
+	if !c.up(nc, err) {
 		return
 	}
 	go c.read(nc)
 	c.write(nc)
 }
 
-// up notes that the connection is up, unless it was given up meanwhile.
-func (c *conn) up(nc net.Conn) bool {
+// up notes that the connection is up, unless it was given up meanwhile: then its socket is free only now.
+func (c *conn) up(nc net.Conn, err error) bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	if !c.ended {
+	if err == nil && !c.ended {
 		c.nc, c.used, c.heard = nc, c.s.clock.now(), c.s.clock.now()
+		return true
+	}
+	if nc != nil {
+		nc.Close()
 	}
-	return !c.ended
+	c.end(endingOfDial(err), err)
+	c.s.left++
+	return false
 }
 
 // write sends what waits until the connection ends.
 func (c *conn) write(nc net.Conn) {
 	for range c.wake {
 		for {
-			b, x := c.next()
+			b, i, within := c.next()
 			if b == nil {
 				break
 			}
-			nc.SetWriteDeadline(time.Now().Add(sendTime))
-			if _, err := nc.Write(b); err != nil {
-				c.stop(endingOf(err), err)
+			n, err := send(nc, b, within)
+			if c.written(i, n == len(b), n > 0, err); err != nil {
 				return
 			}
-			c.written(x)
 		}
 		if c.over() {
 			return
@@ -143,46 +146,79 @@
 	}
 }
 
+// send writes a message whose first byte must leave within so long.
+func send(nc net.Conn, b []byte, within time.Duration) (n int, err error) {
+	nc.SetWriteDeadline(time.Now().Add(within))
+	n, err = nc.Write(b)
+	if n > 0 && n < len(b) && errors.Is(err, os.ErrDeadlineExceeded) {
+		nc.SetWriteDeadline(time.Now().Add(sendTime))
+		var more int
+		more, err = nc.Write(b[n:])
+		n += more
+	}
+	return n, err
+}
+
 func (c *conn) over() bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	return c.ended
 }
 
-// next takes what is to be written next. Of what was given up before it was written, nothing is.
-func (c *conn) next() ([]byte, item) {
+// next takes what is to be written next, and tells within how long it must be begun. Of what was given up before it was
+// written, nothing is.
+func (c *conn) next() ([]byte, item, time.Duration) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	for len(c.out) > 0 && !c.ended {
 		i := c.out[0]
 		c.out = slices.Delete(c.out, 0, 1)
-		if i.x.over {
+		now, within := c.s.clock.now(), min(stuckAfter, c.s.stale)
+		switch {
+		case i.x.over:
 			continue
-		}
-		if !i.drop && c.s.clock.now()-i.x.at > staleAfter {
+		case i.drop:
+			c.writing = now
+			return resp.AppendDrop(nil, i.x.ask.ID), i, within
+		case i.x.r.gone():
+			c.less(i.x, NeverSent)
+			continue
+		case now-i.x.at > c.s.stale, i.x.until > 0 && now >= i.x.until:
 			c.less(i.x, Stale)
 			continue
 		}
-		c.writing = c.s.clock.now()
-		if i.drop {
-			return resp.AppendDrop(nil, i.x.ask.ID), i
+		if i.x.until > 0 {
+			within = min(within, i.x.until-now)
 		}
-		i.x.begun = true
-		return resp.AppendAsk(nil, &i.x.ask), i
+		c.writing, i.x.begun = now, true
+		return resp.AppendAsk(nil, &i.x.ask), i, within
 	}
-	return nil, item{}
+	return nil, item{}, 0
 }
 
-// written notes that an item has left whole.
-func (c *conn) written(i item) {
+// written notes what came of writing an item. Only the writer knows whether a req left whole: a connection that ends
+// meanwhile leaves that to it, since what the node has whole may run.
+func (c *conn) written(i item, whole, some bool, err error) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	c.writing = 0
 	switch {
-	case !i.drop:
-		i.x.wrote = c.s.clock.now()
-	case !i.x.over:
+	case i.drop && c.ended: // closing told the node
+		i.x.finish(i.why)
+	case i.drop && !i.x.over:
 		c.less(i.x, i.why)
+	case i.drop:
+	case whole && c.ended:
+		i.x.finish(Lost)
+	case whole:
+		i.x.wrote = c.s.clock.now()
+	case some:
+		i.x.finish(SentInPart)
+	default:
+		i.x.finish(Stale)
+	}
+	if err != nil {
+		c.end(endingOf(err), err)
 	}
 }
 
@@ -245,7 +281,7 @@
 	began := c.reading
 	c.heard, c.reading = c.s.clock.now(), 0
 	x := c.open[a.ID]
-	if x == nil || a.Word == resp.Pong {
+	if x == nil || x.over || a.Word == resp.Pong {
 		return
 	}
 	e := answered(a.Word)
@@ -272,10 +308,11 @@
 		return
 	}
 	c.ended, c.retired = true, true
+	c.giveUp()
 	if c.nc != nil {
 		c.nc.Close()
+		c.s.left++
 	}
-	c.s.left++
 	c.n.conns = slices.DeleteFunc(c.n.conns, func(o *conn) bool { return o == c })
 	for _, i := range c.out { // given up, and closing tells the node so
 		if i.drop {
@@ -288,11 +325,9 @@
 			x.finish(e)
 		case !x.begun:
 			x.finish(Stale)
-		case x.wrote == 0:
-			x.finish(SentInPart)
-		default:
+		case x.wrote > 0:
 			x.finish(Lost)
-		}
+		} // else its writer tells
 	}
 	select {
 	case c.wake <- struct{}{}: // its writer ends
--- /dev/null
+++ b/director/conn_test.go
@@ -0,0 +1,398 @@
+package director
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
+	"indigochute.example/indigochute/resp"
+)
+
+// Nobody listens at the first: a refused connection proves that nothing ran, even for a non-replayable req.
+func TestRefusedConnection(t *testing.T) {
+	w := start(t, 2)
+	id := w.call("order", 5000, "x")
+	home := w.next("GET")
+	home.reply(t, "HIT", "-", "")
+	w.expect(id, "", "")
+	w.nodes[home.node].Close()
+	home.conn.Close()
+	for closed := false; !closed; time.Sleep(time.Millisecond) { // until the director has seen it
+		w.d.nodes.mu.Lock()
+		closed = len(w.d.nodes.byID[uint32(home.node+1)].conns) == 0
+		w.d.nodes.mu.Unlock()
+	}
+	w.serves("order", "x", "-", "")
+}
+
+// What cannot be read from a node costs the reqs on that connection alone, which have it to themselves while there are
+// sockets; the machine, which answers others, is asked again for what may run again.
+func TestOneSpoiltAnswer(t *testing.T) {
+	w := start(t, 1)
+	w.serves("log", "", "-", "well")
+	first, second := w.call("log", 5000, "1", "k", "7"), w.call("log", 5000, "2", "k", "7")
+	a, b := w.next("GET"), w.next("GET")
+	if a.conn == b.conn {
+		t.Fatal("two reqs on one connection")
+	}
+	if a.body == "2" {
+		a, b = b, a
+	}
+	w.serves("log", "", "-", "meanwhile")
+	io.WriteString(a.conn, "*4\r\n$noise")
+	again := w.next("GET")
+	if again.body != "1" || again.conn == a.conn {
+		t.Fatalf("%v follows a spoilt answer", again)
+	}
+	again.reply(t, "HIT", "-", "a")
+	w.expect(first, "", "a")
+	b.reply(t, "HIT", "-", "b")
+	w.expect(second, "", "b")
+}
+
+// An answer that stops holds up its connection for a while only, long before the client timeout.
+func TestAnswerStops(t *testing.T) {
+	w := start(t, 2)
+	w.serves("page", "", "-", "well")
+	id := w.call("page", 15000, "")
+	io.WriteString(w.next("GET").conn, "*4\r\n$16\r\n00")
+	w.next("GET").reply(t, "HIT", "-", "again")
+	w.expect(id, "", "again")
+}
+
+// A dispatch given up is remembered on its connection: the same req goes to that node on another one.
+func TestSameReqTwiceAtANode(t *testing.T) {
+	w := start(t, 1)
+	s := w.d.nodes
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9)}
+	send := func() *dispatch {
+		x := &dispatch{r: r, at: w.d.clock.now()}
+		x.ask.ID, x.ask.Vhost, x.ask.Wait = "twice", "page", time.Second
+		r.sent = append(r.sent, x)
+		s.send(1, x)
+		return x
+	}
+	x := send()
+	a := w.next("GET")
+	x.withdraw(Withdrawn)
+	if w.next("DROP"); (w.endOf(r)).ending != Withdrawn {
+		t.Error("not withdrawn")
+	}
+	y := send()
+	b := w.next("GET")
+	if b.conn == a.conn {
+		t.Fatal("on the same connection")
+	}
+	a.reply(t, "HIT", "-", "to the first")
+	b.reply(t, "HIT", "-", "to the second")
+	if z := w.endOf(r); z != y || string(z.answer.Body) != "to the second" {
+		t.Error("the first one's answer was taken")
+	}
+}
+
+// A node that leaves off amid an answer: nothing more waits behind that.
+func TestHalfAnAnswer(t *testing.T) {
+	w := start(t, 1)
+	w.call("page", 500, "")
+	a := w.next("GET")
+	io.WriteString(a.conn, "*4\r\n$16\r\n"+a.id+"\r\n$3\r\nHI")
+	if _, word, _ := w.answer(); word != "Shed" {
+		t.Errorf("%q", word)
+	}
+	w.next("DROP")
+	id := w.call("page", 5000, "")
+	b := w.next("GET")
+	if b.conn == a.conn {
+		t.Fatal("behind half an answer")
+	}
+	b.reply(t, "HIT", "-", "whole")
+	w.expect(id, "", "whole")
+}
+
+// A connection that ends, or is given up as stuck, before a req was written whole: the req never ran.
+func TestSentInPart(t *testing.T) {
+	for _, stuck := range []bool{false, true} {
+		w := start(t, 1)
+		s := w.d.nodes
+		here, there := net.Pipe()
+		r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9)}
+		x := &dispatch{r: r, at: w.d.clock.now()}
+		x.ask.Body = make([]byte, 48000)
+		s.mu.Lock()
+		c := s.open(s.byID[1])
+		c.add(x)
+		s.mu.Unlock()
+		c.up(here, nil)
+		go c.write(here)
+		if _, err := io.ReadFull(there, make([]byte, 10)); err != nil {
+			t.Fatal(err)
+		}
+		if stuck {
+			time.Sleep(2 * stuckAfter) // more does no harm
+			x.withdraw(Withdrawn)
+		} else {
+			there.Close()
+		}
+		if y := w.endOf(r); y.ending != SentInPart {
+			t.Errorf("stuck %v: ended as %v", stuck, y.ending)
+		}
+	}
+}
+
+// What has waited to be written is void by then: drains and purges heard since would be passed over.
+func TestStaleOrders(t *testing.T) {
+	w := start(t, 1)
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9)}
+	x := &dispatch{r: r, at: w.d.clock.now() - 2*staleAfter}
+	w.d.nodes.send(1, x)
+	if y := w.endOf(r); y != x || y.ending != Stale {
+		t.Errorf("ended as %v", y.ending)
+	}
+}
+
+// A machine that refuses connections, or lets none come up, is dead or cut off; one that resets a new one may be well.
+func TestEndingsOfDials(t *testing.T) {
+	for err, want := range map[error]Ending{syscall.ECONNREFUSED: NeverConnected, syscall.EHOSTUNREACH: NeverConnected,
+		os.ErrDeadlineExceeded: NeverConnected, syscall.ECONNRESET: Cut, syscall.EMFILE: Cut} {
+		if got := endingOfDial(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}); got != want {
+			t.Errorf("%v: %v", err, got)
+		}
+	}
+}
+
+// Only what never ran may be told as such: a wrong entry here lets an effect happen twice.
+func TestEndings(t *testing.T) {
+	never := map[Ending]control.Ending{NeverConnected: control.NoConnect, SentInPart: control.Unsent, Stale: control.Unsent,
+		NeverSent: control.Moot, NoRoom: control.Full, AnsweredNone: control.Miss, AnsweredFull: control.Full,
+		AnsweredLate: control.Moot}
+	may := map[Ending]control.Ending{AnsweredHit: control.Done, AnsweredSame: control.Done,
+		AnsweredFault: control.Failed, NoMemory: control.Cancelled, Withdrawn: control.Cancelled,
+		Expired: control.TimedOut, Lost: control.Reset, Closed: control.Reset, Stopped: control.Reset,
+		Cut: control.Reset, Unreadable: control.Reset, Stalled: control.Reset}
+	for e := range Ending(len(endings)) {
+		want, proof := never[e]
+		if !proof {
+			want = may[e]
+			if _, listed := may[e]; !listed {
+				t.Errorf("%v is in neither table", e)
+			}
+		}
+		if e.outcome() != want {
+			t.Errorf("%v is told as %d", e, e.outcome())
+		}
+	}
+	if AnsweredLate.String() != "late" {
+		t.Errorf("names are out of step: %v", AnsweredLate)
+	}
+}
+
+// A probe tells a node that answers, one that is silent and one that refuses; it takes no socket that a req may need.
+func TestProbe(t *testing.T) {
+	w := start(t, 1)
+	w.d.nodes.conf.DialTimeout = 200 * time.Millisecond
+	ends := make(chan control.Ending, 1)
+	ask := func(id uint32) { w.d.nodes.probe(id, func(e control.Ending) { ends <- e }) }
+	ask(1)
+	w.next("PING").reply(t, "PONG", "-", "")
+	if e := <-ends; e != control.Done {
+		t.Errorf("a node that answers: %v", e)
+	}
+	ask(1)
+	w.next("PING")
+	if e := <-ends; e != control.TimedOut {
+		t.Errorf("a silent node: %v", e)
+	}
+	ask(0xaa)
+	if e := <-ends; e != control.NoConnect {
+		t.Errorf("a dead node: %v", e)
+	}
+	w.d.nodes.mu.Lock()
+	w.d.nodes.left = w.d.nodes.spare
+	w.d.nodes.mu.Unlock()
+	ask(1)
+	select {
+	case a := <-w.asks:
+		t.Errorf("probed with no socket to spare: %v", a)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// heldWrite passes on what is written, and holds up the writer behind it.
+type heldWrite struct {
+	net.Conn
+	wrote, release chan struct{}
+}
+
+func (h *heldWrite) Write(b []byte) (int, error) {
+	n, err := h.Conn.Write(b)
+	close(h.wrote)
+	<-h.release
+	return n, err
+}
+
+// A connection that ends between the last byte of a req and its writer's word of it: the node has it whole, so it may have
+// run, and a non-replayable one must not be taken for never sent.
+func TestResetBehindTheLastByte(t *testing.T) {
+	w := start(t, 1)
+	s := w.d.nodes
+	l := listen(t)
+	here, there := w.accepted(l)
+	held := &heldWrite{here, make(chan struct{}), make(chan struct{})}
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9), left: make(chan struct{})}
+	x := &dispatch{r: r, at: w.d.clock.now()}
+	x.ask.ID, x.ask.Vhost, x.ask.Wait = "whole", "order", time.Second
+	s.mu.Lock()
+	c := s.open(s.byID[1])
+	c.add(x)
+	s.mu.Unlock()
+	c.up(held, nil)
+	go c.write(held)
+	<-held.wrote
+	there.Close()
+	c.read(held) // until it ends
+	select {
+	case y := <-r.ends:
+		t.Errorf("ended as %v before its writer knows", y.ending)
+	default:
+	}
+	close(held.release)
+	if y := w.endOf(r); y.ending != Lost {
+		t.Errorf("ended as %v", y.ending)
+	}
+}
+
+// An answer that is read just as its connection ends changes nothing of what was told of the dispatch.
+func TestAnswerBehindTheEnd(t *testing.T) {
+	w := start(t, 1)
+	s := w.d.nodes
+	here, _ := net.Pipe()
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9), left: make(chan struct{})}
+	x := &dispatch{r: r, at: w.d.clock.now()}
+	x.ask.ID = "crossing"
+	s.mu.Lock()
+	c := s.open(s.byID[1])
+	c.add(x)
+	s.mu.Unlock()
+	c.up(here, nil)
+	_, i, _ := c.next()
+	c.written(i, true, true, nil)
+	c.stop(Cut, nil)
+	c.answer(resp.Answer{ID: "crossing", Word: resp.Hit, Body: []byte("late")})
+	if y := w.endOf(r); y.ending != Lost || y.answer.Body != nil {
+		t.Errorf("ended as %v with %q", y.ending, y.answer.Body)
+	}
+}
+
+// A dial holds its socket until it has ended, also where its connection is given up before: the sum of sockets stays
+// within the bound.
+func TestDialsKeepTheirSocket(t *testing.T) {
+	var g *gate
+	w := startWith(t, 1, nil, func(w *world) { g = hold(w) })
+	s := w.d.nodes
+	left := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.left
+	}
+	all := left()
+	w.call("page", 5000, "")
+	<-g.reached
+	if err := w.d.hear(0, feed.Event{Number: w.d.last + 1, Machines: []feed.Machine{{ID: 1, State: control.Gone}}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, word, _ := w.answer(); word != "Shed" { // there is no other
+		t.Errorf("%q", word)
+	}
+	if n := left(); n != all-1 {
+		t.Errorf("%d of %d sockets are free during the dial", n, all)
+	}
+	close(g.opened)
+	w.until("free again", func() bool { return left() == all })
+	time.Sleep(50 * time.Millisecond) // nor given back twice
+	if n := left(); n != all {
+		t.Errorf("%d of %d sockets are free", n, all)
+	}
+}
+
+// What a node does not take is void before list and purges may have changed: the first byte leaves within a part of the
+// shortest grace, or nothing does, which proves that nothing ran.
+func TestFirstByteWithinTheGrace(t *testing.T) {
+	w := startWith(t, 1, []string{`"rules":{`, `"rules":{"drainGrace":240000,`}, nil)
+	s := w.d.nodes
+	if s.stale != 80*time.Millisecond {
+		t.Errorf("void after %v", s.stale)
+	}
+	here, _ := net.Pipe()
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9), left: make(chan struct{})}
+	x := &dispatch{r: r, at: w.d.clock.now()}
+	before := time.Now()
+	s.mu.Lock()
+	c := s.open(s.byID[1])
+	c.add(x)
+	s.mu.Unlock()
+	c.up(here, nil)
+	c.write(here)
+	if y := w.endOf(r); y.ending != Stale || time.Since(before) > time.Second {
+		t.Errorf("ended as %v after %v", y.ending, time.Since(before))
+	}
+}
+
+// A repeat that may be sent within a window only is not begun after it, however long its connection took to come up.
+func TestNotBegunAfterItsWindow(t *testing.T) {
+	w := start(t, 1)
+	s := w.d.nodes
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9), left: make(chan struct{})}
+	now := w.d.clock.now()
+	x := &dispatch{r: r, at: now, until: now + time.Millisecond}
+	s.mu.Lock()
+	c := s.open(s.byID[1])
+	c.add(x)
+	s.mu.Unlock()
+	w.until("over", func() bool { return w.d.clock.now() >= x.until })
+	if b, _, _ := c.next(); b != nil {
+		t.Errorf("%q is written", b)
+	}
+	if y := w.endOf(r); y.ending != Stale {
+		t.Errorf("ended as %v", y.ending)
+	}
+	y := &dispatch{r: r, at: now, until: now + time.Hour}
+	s.mu.Lock()
+	c.add(y)
+	s.mu.Unlock()
+	if b, _, within := c.next(); b == nil || within <= 0 {
+		t.Error("one within its window is not written")
+	}
+}
+
+// A node closes a resting connection in the moment in which a non-replayable req is put on it: if the end is read first the
+// req never left and goes elsewhere; if not, it may have run and is aborted.
+func TestRestingConnectionCloses(t *testing.T) {
+	w := start(t, 2)
+	home := w.serves("order", "x", "-", "")
+	s := w.d.nodes
+	s.mu.Lock() // what is ordered now waits; the end of the connection cannot be noted either
+	home.conn.Close()
+	id := w.call("order", 5000, "x")
+	w.until("ordered", func() bool {
+		w.d.mu.Lock()
+		defer w.d.mu.Unlock()
+		return len(w.d.reqs) == 1
+	})
+	s.mu.Unlock()
+	gotID, word, _ := "", "", ""
+	select {
+	case a := <-w.asks:
+		a.reply(t, "HIT", "-", "")
+		w.expect(id, "", "")
+		gotID = a.id
+	case <-time.After(300 * time.Millisecond):
+		if _, word, _ = w.answer(); word != "Fault" {
+			t.Errorf("%q %q", gotID, word)
+		}
+	}
+}
--- a/director/director.go
+++ b/director/director.go
@@ -41,6 +41,7 @@
 	lastID uint32
 	last   uint64   // number of the last event of the feed
 	gap    feed.Gap // met last
+	watch  int      // of the journal service, counted at each move
 }
 
 // New makes a director that knows what its configuration tells.
@@ -51,7 +52,8 @@
 	for i, name := range conf.Vhosts {
 		d.vhosts[name] = i
 	}
-	d.clients = clients{most: d.bounds.clientSockets, all: map[*client]bool{}}
+	places := d.bounds.clientSockets
+	d.clients = clients{most: max(1, places-places/partingPart), all: map[*client]bool{}}
 	d.nodes = newNodes(conf, d.bounds.nodeSockets, d.clock, d.note)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/director/feed.go
+++ b/director/feed.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	feedSilence = 2500 * time.Millisecond // frames come each second
+	feedSilence = 1600 * time.Millisecond // frames come each second; word is to come in 7 s, over the third connection too
 	feedAgain   = 200 * time.Millisecond  // before the next try to connect
 	feedDial    = time.Second
 )
@@ -21,6 +21,7 @@
 func (d *Director) follow(stop <-chan struct{}) {
 	at := d.conf.Journal
 	told := "" // one line for each new fault, none for each try
+	watch := 0
 	for {
 		ctx, leave := context.WithCancel(context.Background())
 		type end struct {
@@ -28,10 +29,10 @@
 			err   error
 		}
 		ended := make(chan end, 1)
-		go func() {
-			heard, err := d.followOnce(ctx, at)
+		go func(at netip.AddrPort, watch int) { // what it was started with: a move may come before it runs
+			heard, err := d.followOnce(ctx, at, watch)
 			ended <- end{heard, err}
-		}()
+		}(at, watch)
 		var wait <-chan time.Time // after an end, before the next try
 		for moved := false; !moved; {
 			select {
@@ -40,6 +41,10 @@
 				return
 			case at = <-d.moves:
 				leave() // a dial, a read or a wait under way ends at once
+				watch++
+				d.mu.Lock()
+				d.watch = watch // what was read from there and not yet heard is not
+				d.mu.Unlock()
 				moved, told = true, ""
 			case e := <-ended:
 				wait = time.After(feedAgain)
@@ -57,7 +62,7 @@
 
 // followOnce reads events off one connection until that ends, cannot be trusted or is no longer wanted. It tells
 // whether any came.
-func (d *Director) followOnce(ctx context.Context, at netip.AddrPort) (heard bool, err error) {
+func (d *Director) followOnce(ctx context.Context, at netip.AddrPort, watch int) (heard bool, err error) {
 	dialer := net.Dialer{Timeout: feedDial}
 	nc, err := dialer.DialContext(ctx, "tcp", at.String())
 	if err != nil {
@@ -77,7 +82,7 @@
 		nc.SetReadDeadline(time.Now().Add(feedSilence))
 		e, err := feed.Read(in)
 		if err == nil {
-			err = d.hear(e)
+			err = d.hear(watch, e)
 		}
 		if err != nil {
 			return heard, err
@@ -86,22 +91,27 @@
 	}
 }
 
-// hear takes one event, if it is the next one. One heard before is passed over. After a gap the connection is
-// not trusted, and the next one starts from the last event held; if that shows the same gap, what is missing is
-// not to be had, and later news are better than none.
-func (d *Director) hear(e feed.Event) error {
+// hear takes one event, if it is the next one and of the watch in force. One heard before is passed over. After a gap the
+// connection is not trusted, and the next one starts from the last event held; if that shows the same gap, what is missing
+// is not to be had, and later news are better than none. An empty frame names the newest event there is: all up to it should
+// have come before.
+func (d *Director) hear(watch int, e feed.Event) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	defer d.defect("feed")
-	if e.Machines == nil && e.Purge == nil || e.Number <= d.last {
+	if e.Number <= d.last || watch != d.watch {
 		return nil
 	}
-	if e.Number > d.last+1 {
-		gap := feed.Gap{Last: d.last, Next: e.Number}
+	empty := e.Machines == nil && e.Purge == nil
+	if e.Number > d.last+1 || empty {
+		gap := feed.Gap{Last: d.last, Next: e.Number, Empty: empty}
 		if d.gap != gap {
 			d.gap = gap
 			return gap
 		}
+		if empty {
+			return nil
+		}
 		d.log.WithError(gap).Warn("feed: taken all the same")
 	}
 	d.last = e.Number
--- /dev/null
+++ b/director/feed_test.go
@@ -0,0 +1,266 @@
+package director
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/config"
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
+)
+
+// Machines that left the list, and their connections, are forgotten.
+func TestNodesThatLeft(t *testing.T) {
+	w := start(t, 1)
+	for i := range 100 {
+		m := feed.Machine{ID: uint32(1000 + i), Addr: netip.MustParseAddrPort(w.nodes[0].Addr().String())}
+		for _, m.State = range []control.State{control.Ready, control.Draining, control.Gone} {
+			if err := w.d.hear(w.d.watch, feed.Event{Number: w.d.last + 1, Machines: []feed.Machine{m}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if n := len(w.d.nodes.byID); n != 2 {
+		t.Errorf("%d nodes are held", n)
+	}
+	w.serves("page", "", "-", "by the one that stayed")
+}
+
+// A configuration read anew moves the feed at once, from the number held, and what is open stays open. A faulty one
+// changes nothing.
+func TestReload(t *testing.T) {
+	w := start(t, 1)
+	id := w.call("page", 5000, "")
+	a := w.next("GET")
+	hello := func(l net.Listener) net.Conn {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			var from [8]byte
+			if _, err := io.ReadFull(nc, from[:]); err == io.EOF {
+				continue // of two moves the first may have got so far
+			} else if err != nil || from[7] != 1 {
+				t.Fatalf("starts from %v, %v", from, err)
+			}
+			return nc
+		}
+	}
+	before := hello(w.journal)
+	w.d.reload(nil, errors.New("journal: missing"))
+	moved := *w.d.conf
+	there := listen(t)
+	moved.Journal = netip.MustParseAddrPort(there.Addr().String())
+	w.d.reload(&moved, nil)
+	after := hello(there)
+	if _, err := before.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the old connection: %v", err)
+	}
+	moved.Journal = netip.MustParseAddrPort(w.journal.Addr().String())
+	w.d.reload(w.d.conf, nil)
+	w.d.reload(&moved, nil) // one after the other: the last counts
+	hello(w.journal)
+	if _, err := after.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the second connection: %v", err)
+	}
+	a.reply(t, "HIT", "-", "through it all")
+	w.expect(id, "", "through it all")
+}
+
+// A node that the feed lists at another address, or started anew, gets nothing more over its old connections; a new
+// node may have the address of one that has gone.
+func TestNodesMove(t *testing.T) {
+	w := start(t, 2)
+	ask := func() asked { return w.serves("page", "", "-", "") }
+	addr := func(i int) netip.AddrPort { return netip.MustParseAddrPort(w.nodes[i].Addr().String()) }
+	home := ask().node
+	m := feed.Machine{ID: uint32(home + 1), Addr: addr(1 - home), State: control.Ready}
+	other := feed.Machine{ID: uint32(2 - home), Addr: addr(1 - home), State: control.Gone}
+	hear := func(machines ...feed.Machine) {
+		if err := w.d.hear(w.d.watch, feed.Event{Number: w.d.last + 1, Machines: machines}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hear(other, m)
+	before := ask()
+	if before.node != 1-home {
+		t.Fatal("asked at the old address")
+	}
+	m.BornUnix = time.Now().UnixMilli() - time.Minute.Milliseconds()
+	hear(m)
+	if after := ask(); after.node != before.node || after.conn == before.conn {
+		t.Error("asked over the connection from before its start")
+	}
+}
+
+func TestFeedReconnects(t *testing.T) {
+	w := start(t, 1)
+	frame := func(number uint64, kind byte, payload ...byte) []byte {
+		b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+		return append(append(binary.BigEndian.AppendUint64(b, number), kind), payload...)
+	}
+	purge := make([]byte, 16)
+	for i, c := range []struct {
+		from  uint64
+		write [][]byte
+	}{
+		{1, [][]byte{frame(1, 0), frame(2, 3, purge...), frame(2, 3, purge...), frame(3, 3, purge...)}},
+		{3, [][]byte{frame(4, 9)}},              // a kind unheard of
+		{3, [][]byte{frame(7, 3, purge...)}},    // a gap
+		{3, [][]byte{frame(7, 3, purge...)}},    // that stays
+		{7, [][]byte{{0xff, 0xff, 0xff, 0xff}}}, // an impossible length
+		{7, nil},
+	} {
+		nc, err := w.journal.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var hello [8]byte
+		if _, err := io.ReadFull(nc, hello[:]); err != nil {
+			t.Fatal(err)
+		}
+		if from := binary.BigEndian.Uint64(hello[:]); from != c.from {
+			t.Errorf("connection %d starts from %d, not %d", i, from, c.from)
+		}
+		for _, b := range c.write {
+			nc.Write(b)
+		}
+		nc.(*net.TCPConn).CloseWrite()
+	}
+}
+
+// hello takes a watch's connection, and the number from which it asks.
+func (w *world) hello(l net.Listener) (net.Conn, uint64) {
+	w.t.Helper()
+	nc, err := l.Accept()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var from [8]byte
+	if _, err := io.ReadFull(nc, from[:]); err != nil {
+		w.t.Fatal(err)
+	}
+	return nc, binary.BigEndian.Uint64(from[:])
+}
+
+// A watch that sends empty frames and no events is not trusted once such a frame names an event that did not come; where
+// the next one shows the same, nothing is lost by staying.
+func TestWatchThatSkipsEvents(t *testing.T) {
+	w := start(t, 1)
+	empty := feed.Event{Number: 5}
+	for i := range 2 {
+		nc, from := w.hello(w.journal)
+		if from != 1 {
+			t.Fatalf("connection %d starts from %d", i, from)
+		}
+		nc.Write(feed.AppendEvent(nil, &empty))
+		if i > 0 { // the same gap: it stays, and takes what comes
+			purge := feed.Event{Number: 2, Purge: &feed.Purge{Obj: 1}}
+			nc.Write(feed.AppendEvent(nil, &purge))
+			w.until("heard", func() bool {
+				w.d.mu.Lock()
+				defer w.d.mu.Unlock()
+				return w.d.last == 2
+			})
+		}
+	}
+}
+
+// Watches that fall silent, from their start or amid a frame, are left so soon that the third connection still brings word
+// within the time in which it counts as told.
+func TestSilentWatches(t *testing.T) {
+	w := start(t, 1)
+	before := time.Now()
+	for i := range 3 {
+		nc, _ := w.hello(w.journal)
+		if i == 1 {
+			nc.Write([]byte{0, 0, 0})
+		}
+	}
+	if took := time.Since(before); took > 5*time.Second {
+		t.Errorf("the third connection comes after %v", took)
+	}
+}
+
+// What was read from a service that is left is not heard after the move: the new one's event of that number would be
+// passed over.
+func TestOldWatchIsHeardNoMore(t *testing.T) {
+	w := start(t, 1)
+	w.hello(w.journal)
+	there := listen(t)
+	moved := *w.d.conf
+	moved.Journal = netip.MustParseAddrPort(there.Addr().String())
+	w.d.reload(&moved, nil)
+	w.hello(there)
+	gone := []feed.Machine{{ID: 1, State: control.Gone}}
+	if err := w.d.hear(0, feed.Event{Number: 2, Machines: gone}); err != nil || w.d.last != 1 {
+		t.Errorf("the old watch is heard: %v, the last is %d", err, w.d.last)
+	}
+	w.serves("page", "", "-", "by the node that is still there")
+	if err := w.d.hear(1, feed.Event{Number: 2, Machines: gone}); err != nil || w.d.last != 2 {
+		t.Errorf("the new watch is not: %v, the last is %d", err, w.d.last)
+	}
+}
+
+// An older whole list, sent again after discovery's return, does not undo a drain heard before.
+func TestOlderListUndoesNoDrain(t *testing.T) {
+	w := start(t, 2)
+	home := w.serves("page", "", "-", "")
+	m := feed.Machine{ID: uint32(home.node + 1), Addr: netip.MustParseAddrPort(w.nodes[home.node].Addr().String())}
+	m.State = control.Draining
+	nc, _ := w.hello(w.journal)
+	drain := feed.Event{Number: 2, Machines: []feed.Machine{m}}
+	nc.Write(feed.AppendEvent(nil, &drain))
+	w.until("heard", func() bool {
+		w.d.mu.Lock()
+		defer w.d.mu.Unlock()
+		return w.d.last == 2
+	})
+	nc.Close()
+	nc, from := w.hello(w.journal)
+	if from != 2 {
+		t.Errorf("starts from %d", from)
+	}
+	m.State = control.Ready
+	for _, n := range []uint64{1, 2} {
+		nc.Write(feed.AppendEvent(nil, &feed.Event{Number: n, Whole: true, Machines: []feed.Machine{m}}))
+	}
+	nc.Write(feed.AppendEvent(nil, &feed.Event{Number: 3, Purge: &feed.Purge{Obj: 1}}))
+	w.until("heard", func() bool {
+		w.d.mu.Lock()
+		defer w.d.mu.Unlock()
+		return w.d.last == 3
+	})
+	if a := w.serves("page", "", "-", ""); a.node == home.node {
+		t.Error("the node that drains is asked")
+	}
+}
+
+// The file of another director or customer changes nothing: its own name, listen or vhosts tell it, also where the
+// environment goes before name and listen.
+func TestReloadOfAnothersFile(t *testing.T) {
+	w := start(t, 1)
+	w.hello(w.journal)
+	there := listen(t)
+	for _, change := range []func(*config.Config){
+		func(c *config.Config) { c.Written = "n1 at 127.0.0.1:1" },
+		func(c *config.Config) { c.Vhosts = []string{"video", "submit"} },
+	} {
+		foreign := *w.d.conf
+		foreign.Journal = netip.MustParseAddrPort(there.Addr().String())
+		change(&foreign)
+		w.d.reload(&foreign, nil)
+	}
+	if n := w.logged.count("are another director's"); n != 2 {
+		t.Errorf("told %d times", n)
+	}
+	if len(w.d.moves) > 0 {
+		t.Error("the watch moves")
+	}
+}
--- /dev/null
+++ b/director/gone_test.go
@@ -0,0 +1,190 @@
+package director
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
+)
+
+// Clients that have gone: nothing begins for them any more.
+
+// What came while nobody read is read to its end before any of it is begun: a req whose cancel, or whose client's end, lies
+// right behind it is never sent.
+func TestGoneBeforeItIsBegun(t *testing.T) {
+	w := start(t, 1)
+	l := listen(t)
+	for range 20 {
+		here, there := w.accepted(l)
+		text := ""
+		for range 30 {
+			id, call := w.callText("page", 5000, "")
+			text += call + cancelOf(id)
+		}
+		there.Write([]byte(text))
+		c := newClient(w.d, here)
+		w.until("readable", c.unread)
+		go c.read()
+		here, there = w.accepted(l)
+		_, call := w.callText("order", 5000, "x")
+		there.Write([]byte(call))
+		there.Close()
+		c = newClient(w.d, here)
+		w.until("readable", c.unread)
+		c.read()
+	}
+	w.nothingBut("their clients had left")
+}
+
+// A dispatch that still waits for its connection to come up needs no node's consent to be given up, whether the settings let
+// dispatches be withdrawn or not, and whether the client cancels or closes.
+func TestGoneDuringADial(t *testing.T) {
+	for _, words := range [][]string{nil, {`"cancel":true`, `"cancel":false`}} {
+		for _, closes := range []bool{false, true} {
+			var g *gate
+			w := startWith(t, 1, words, func(w *world) { g = hold(w) })
+			back := w.another()
+			id := w.call("page", 5000, "")
+			<-g.reached
+			if closes {
+				w.nc.Close()
+			} else {
+				w.write(cancelOf(id))
+			}
+			w.until("given up", func() bool {
+				w.d.mu.Lock()
+				defer w.d.mu.Unlock()
+				return len(w.d.reqs) == 0
+			})
+			back()
+			close(g.opened)
+			w.nothingBut("its client had left")
+		}
+	}
+}
+
+// The last look is the writer's: a req whose client left after the order was given is not written.
+func TestGoneBeforeTheWriter(t *testing.T) {
+	w := start(t, 1)
+	r := &req{d: w.d, from: &client{}, ends: make(chan *dispatch, 9), left: make(chan struct{})}
+	x := &dispatch{r: r, at: w.d.clock.now()}
+	x.ask.ID, x.ask.Vhost, x.ask.Wait = "gone", "page", time.Second
+	s := w.d.nodes
+	s.mu.Lock()
+	c := s.open(s.byID[1])
+	c.add(x)
+	s.mu.Unlock()
+	close(r.left)
+	if b, _, _ := c.next(); b != nil {
+		t.Errorf("%q is written", b)
+	}
+	if y := w.endOf(r); y.ending != NeverSent {
+		t.Errorf("ended as %v", y.ending)
+	}
+}
+
+// A dispatch that its node is to have no more of is not begun: the node drains, moves, starts anew or goes while the
+// connection comes up. The req is served elsewhere.
+func TestDrainsDuringADial(t *testing.T) {
+	for name, change := range map[string]func(*feed.Machine){
+		"drains": func(m *feed.Machine) { m.State = control.Draining }, "goes": func(m *feed.Machine) { m.State = control.Gone },
+		"starts anew": func(m *feed.Machine) { m.BornUnix = time.Now().UnixMilli() - 60000 },
+	} {
+		var g *gate
+		w := startWith(t, 2, nil, func(w *world) { g = hold(w) })
+		id := w.call("order", 5000, "x")
+		<-g.reached
+		w.d.nodes.mu.Lock()
+		var home uint32
+		for id, n := range w.d.nodes.byID {
+			if len(n.conns) > 0 {
+				home = id
+			}
+		}
+		m := feed.Machine{ID: home, Addr: w.d.nodes.byID[home].addr, State: control.Ready}
+		w.d.nodes.mu.Unlock()
+		change(&m)
+		if err := w.d.hear(0, feed.Event{Number: w.d.last + 1, Machines: []feed.Machine{m}}); err != nil {
+			t.Fatal(err)
+		}
+		<-g.reached // elsewhere, or over a new connection
+		close(g.opened)
+		a := w.next("GET")
+		if a.node+1 == int(home) && name != "starts anew" {
+			t.Errorf("%s: asked all the same", name)
+		}
+		a.reply(t, "HIT", "-", "")
+		w.expect(id, "", "")
+		select {
+		case b := <-w.asks:
+			t.Errorf("%s: asked twice, %v", name, b)
+		default:
+		}
+	}
+}
+
+// Reading waits neither for a client that takes no answers nor for a penalty: cancels behind both are seen.
+func TestCancelBehindOtherTrouble(t *testing.T) {
+	t.Run("answers not taken", func(t *testing.T) {
+		w := start(t, 1)
+		here, there := net.Pipe() // takes nothing that is not read
+		go newClient(w.d, here).read()
+		w.nc = there
+		w.write("\x94\x00\x09" + str("alive") + "\x91\x80")
+		id := w.call("page", 8000, "")
+		a := w.next("GET")
+		w.write(cancelOf(id))
+		if drop := w.next("DROP"); drop.id != a.id {
+			t.Errorf("dropped %q", drop.id)
+		}
+	})
+	t.Run("messages of no use", func(t *testing.T) {
+		w := start(t, 1)
+		id := w.call("page", 15000, "")
+		a := w.next("GET")
+		for range 90 {
+			w.call("nothing of ours", 5000, "")
+			w.answer()
+		}
+		before := time.Now()
+		text := ""
+		for range 30 { // as many as a client within its bounds may have open
+			_, call := w.callText("nothing of ours", 5000, "")
+			text += call
+		}
+		w.write(text + cancelOf(id))
+		if drop := w.next("DROP"); drop.id != a.id || time.Since(before) > time.Second {
+			t.Errorf("dropped %q after %v", drop.id, time.Since(before))
+		}
+	})
+}
+
+// A client that writes nothing but what is of no use is parted from in the end, after it has its answers.
+func TestNothingOfUse(t *testing.T) {
+	w := start(t, 1)
+	back := w.another()
+	text := ""
+	for range 2 * unfitMost {
+		_, call := w.callText("nothing of ours", 5000, "")
+		text += call
+	}
+	go io.WriteString(w.nc, text)
+	answers := 0
+	for w.in = bufio.NewReader(w.nc); ; answers++ {
+		if _, err := w.in.Peek(1); err != nil {
+			break
+		}
+		if _, word, _ := w.answer(); word != "Fault" && word != "Shed" {
+			t.Fatalf("answer %d: %q", answers, word)
+		}
+	}
+	if answers < unfitMost || answers > unfitMost+openEach+1 {
+		t.Errorf("%d answers", answers)
+	}
+	back()
+	w.serves("page", "", "-", "to another")
+}
--- /dev/null
+++ b/director/helpers_test.go
@@ -0,0 +1,373 @@
+package director
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"indigochute.example/indigochute/config"
+)
+
+const patience = 10 * time.Second // far more than anything here takes
+
+// asked is one command that a stand-in for a node got.
+type asked struct {
+	word, id, fields, body string
+	conn                   net.Conn
+	node                   int
+}
+
+func (a asked) reply(t *testing.T, word, fields, body string) {
+	t.Helper()
+	b := "*4\r\n"
+	for _, s := range []string{a.id, word, fields, body} {
+		b += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
+	}
+	if _, err := io.WriteString(a.conn, b); err != nil {
+		t.Error(err)
+	}
+}
+
+// world is a director between stand-ins on loopback: caches that do as a test says, and a client.
+type world struct {
+	t       *testing.T
+	d       *Director
+	asks    chan asked
+	nc      net.Conn
+	in      *bufio.Reader
+	nodes   []net.Listener
+	journal net.Listener
+	stop    context.CancelFunc
+	served  chan struct{}
+	lastID  uint32
+	logged  lines
+}
+
+const vhosts = `[{"name":"page","aim":%[1]d,"deadline":%[1]d,"idempotency":"read_like","group":"all"},
+ {"name":"log","aim":%[1]d,"deadline":%[1]d,"idempotency":"idempotency_key","group":"all","window":%[1]d},
+ {"name":"order","aim":%[1]d,"deadline":%[1]d,"idempotency":"non_idempotent","group":"all"}]`
+
+func start(t *testing.T, caches int) *world { return startWith(t, caches, nil, nil) }
+
+// startWith is start with words of the configuration replaced, and the director prepared before it serves.
+func startWith(t *testing.T, caches int, words []string, prepare func(*world)) *world {
+	w := &world{t: t, asks: make(chan asked, 100), served: make(chan struct{}), journal: listen(t)}
+	var hosts []string
+	for i := range caches {
+		l := listen(t)
+		w.nodes = append(w.nodes, l)
+		go w.stand(i, l)
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%08x","dial":%q,"site":"here","class":"box","health":"SERVING"}`,
+			i+1, l.Addr()))
+	}
+	hosts = append(hosts, `{"host":"s-000000aa","dial":"127.0.0.1:1","site":"here","class":"mid","health":"SERVING"}`)
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:1","seed":"0000000000000007","journal":%[3]q,
+		"limits":{"cores":1,"memory_mb":64,"sockets":64},
+		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"whole":true,"hosts":[%[2]s]}}]},
+		"settings":{"classes":`+vhosts+`,"instances":1,"zone":0,"zones":["here"],"models":["box","mid"],
+		"domain":{"midKind":1,"sourceKind":9,"passOn":[false,true,true],"hubOf":[0],"zoneBalancers":[1]},
+		"limits":{"sendCap":4,"cancel":true,"retryAfter":true,"maxRetryAfter":1000000,"maxStreams":32},
+		"rules":{"fallMultiple":3,"tipAfter":3000000,"rampTime":9000000,"startCapacity":0.2}}}`,
+		patience.Microseconds(), strings.Join(hosts, ","), w.journal.Addr())
+	conf, err := config.Parse([]byte(strings.NewReplacer(words...).Replace(text)), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(&w.logged)
+	w.d = New(conf, logrus.NewEntry(log))
+	if prepare != nil {
+		prepare(w)
+	}
+	l := listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() {
+		w.d.serve(ctx, l)
+		close(w.served)
+	}()
+	w.nc = dial(t, l.Addr().String())
+	w.in = bufio.NewReader(w.nc)
+	t.Cleanup(stop)
+	return w
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.SetDeadline(time.Now().Add(2 * patience))
+	t.Cleanup(func() { nc.Close() })
+	return nc
+}
+
+// stand hands what a cache is asked to the test.
+func (w *world) stand(node int, l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			in := bufio.NewReader(nc)
+			for {
+				var words [4]string
+				var n int
+				if _, err := fmt.Fscanf(in, "*%d\r\n", &n); err != nil || n > 4 {
+					return
+				}
+				for i := range n {
+					var size int
+					if _, err := fmt.Fscanf(in, "$%d\r\n", &size); err != nil {
+						return
+					}
+					b := make([]byte, size+2)
+					if _, err := io.ReadFull(in, b); err != nil {
+						return
+					}
+					words[i] = string(b[:size])
+				}
+				w.asks <- asked{words[0], words[1], words[2], words[3], nc, node}
+			}
+		}()
+	}
+}
+
+// next is what a node was asked next.
+func (w *world) next(word string) asked {
+	w.t.Helper()
+	select {
+	case a := <-w.asks:
+		if a.word != word {
+			w.t.Fatalf("a node got %v, not %s", a, word)
+		}
+		return a
+	case <-time.After(patience):
+		w.t.Fatalf("no node got a %s", word)
+	}
+	return asked{}
+}
+
+func str(s string) string {
+	return "\xda" + string(binary.BigEndian.AppendUint16(nil, uint16(len(s)))) + s
+}
+
+// call writes a req; timeout is in milliseconds.
+func (w *world) call(vhost string, timeout int, body string, more ...string) uint32 {
+	id, b := w.callText(vhost, timeout, body, more...)
+	w.write(b)
+	return id
+}
+
+func (w *world) callText(vhost string, timeout int, body string, more ...string) (uint32, string) {
+	w.lastID++
+	fields := append([]string{"i", fmt.Sprintf("%016x", w.lastID), "d", strconv.Itoa(timeout), "o", "00000000000000a1",
+		"n", "2", "shard", "3"}, more...)
+	b := "\x94\x00\xce" + string(binary.BigEndian.AppendUint32(nil, w.lastID)) + str(vhost) + "\x92\xde\x00"
+	b += string(rune(len(fields) / 2))
+	for _, f := range fields {
+		b += str(f)
+	}
+	b += "\xc6" + string(binary.BigEndian.AppendUint32(nil, uint32(len(body)))) + body
+	return w.lastID, b
+}
+
+func (w *world) write(b string) {
+	if _, err := io.WriteString(w.nc, b); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// answer reads one answer: to which req, the word of its error or "", and the body or the rest.
+func (w *world) answer() (id uint32, word, body string) {
+	w.t.Helper()
+	head := w.take(8)
+	if !bytes.HasPrefix(head, []byte("\x94\x01\xce")) {
+		w.t.Fatalf("an answer begins with %x", head)
+	}
+	id = binary.BigEndian.Uint32(head[3:])
+	if head[7] == 0x92 {
+		word = string(w.take(int(w.take(1)[0] & 0x1f)))
+		rest := ""
+		for range 2 * (w.take(1)[0] & 0x0f) {
+			n := int(w.take(1)[0])
+			if n == 0xd9 {
+				n = int(w.take(1)[0])
+			} else {
+				n &= 0x1f
+			}
+			rest += string(w.take(n)) + " "
+		}
+		w.take(1)
+		return id, word, rest
+	}
+	size := w.take(6)
+	body = string(w.take(int(binary.BigEndian.Uint32(size[2:]))))
+	if w.take(1)[0] == 0x81 {
+		return id, "still " + string(w.take(8)[7:]), body
+	}
+	return id, "", body
+}
+
+func (w *world) take(n int) []byte {
+	w.t.Helper()
+	b := make([]byte, n)
+	if _, err := io.ReadFull(w.in, b); err != nil {
+		w.t.Fatal(err)
+	}
+	return b
+}
+
+// serves sees a req through: a node answers it, the client has the answer.
+func (w *world) serves(vhost, body, fields, answer string) asked {
+	w.t.Helper()
+	id := w.call(vhost, 5000, body, "k", "7")
+	a := w.next("GET")
+	a.reply(w.t, "HIT", fields, answer)
+	w.expect(id, "", answer)
+	return a
+}
+
+func (w *world) expect(id uint32, word, body string) {
+	w.t.Helper()
+	if gotID, gotWord, gotBody := w.answer(); gotID != id || gotWord != word || gotBody != body {
+		w.t.Fatalf("answer to %d: %q, %d bytes; want %d: %q, %d bytes", gotID, gotWord, len(gotBody), id, word, len(body))
+	}
+}
+
+// lines keeps what is logged.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) count(of string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), of)
+}
+
+// until waits for something that is bound to come.
+func (w *world) until(what string, is func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("never %s", what)
+		}
+	}
+}
+
+// nothingBut sees a req through and checks that nodes got nothing else before it, nor had anything unread.
+func (w *world) nothingBut(why string) {
+	w.t.Helper()
+	id := w.call("page", 5000, "", "o", "00000000000000ff")
+	if a := w.next("GET"); a.id != fmt.Sprintf("%016x", id) {
+		w.t.Fatalf("%s: a node got %v", why, a)
+	} else {
+		a.reply(w.t, "HIT", "note=cached", "")
+	}
+	w.expect(id, "", "")
+	select {
+	case a := <-w.asks:
+		w.t.Fatalf("%s: a node got %v", why, a)
+	default:
+	}
+}
+
+// another is a second client; the world's calls go through it until it is put back.
+func (w *world) another() (back func()) {
+	nc, in := w.nc, w.in
+	w.nc = dial(w.t, nc.RemoteAddr().String())
+	w.in = bufio.NewReader(w.nc)
+	return func() { w.nc, w.in = nc, in }
+}
+
+// gate holds up dials to nodes until it is opened.
+type gate struct {
+	reached chan struct{} // a dial has come to it
+	opened  chan struct{}
+}
+
+func hold(w *world) *gate {
+	g := &gate{make(chan struct{}, 100), make(chan struct{})}
+	w.d.nodes.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+		g.reached <- struct{}{}
+		<-g.opened
+		return nil
+	}
+	return g
+}
+
+// accepted is a connection of a client as the director has it, and the client's side of it.
+func (w *world) accepted(l net.Listener) (*net.TCPConn, net.Conn) {
+	there := dial(w.t, l.Addr().String())
+	here, err := l.Accept()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return here.(*net.TCPConn), there
+}
+
+// closing notes what lay unread when a connection was closed: closing over it takes back answers under way.
+type closing struct {
+	*net.TCPConn
+	unread chan int
+}
+
+func (c *closing) Close() error {
+	if raw, err := c.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1<<20), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			select {
+			case c.unread <- max(0, n):
+			default:
+			}
+		})
+	}
+	return c.TCPConn.Close()
+}
+
+// cancel writes that a client waits for a req no more.
+func cancelOf(id uint32) string {
+	return "\x93\x02" + str("cancelRequest") + "\x91\xce" + string(binary.BigEndian.AppendUint32(nil, id))
+}
+
+// endOf is the next dispatch of a req that ended.
+func (w *world) endOf(r *req) *dispatch {
+	w.t.Helper()
+	select {
+	case x := <-r.ends:
+		return x
+	case <-time.After(patience):
+		w.t.Fatal("no dispatch ended")
+	}
+	return nil
+}
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/netip"
 	"slices"
@@ -21,8 +22,9 @@
 	conf   *config.Config
 	clock  *clock
 	note   *note
-	left   int // sockets that may still be opened
-	spare  int // of those, kept for nodes without a connection: down to it each req has one to itself
+	left   int           // sockets that may still be opened
+	spare  int           // of those, kept for nodes without a connection: down to it each req has one to itself
+	stale  time.Duration // an order not begun by then is void
 	dialer net.Dialer
 }
 
@@ -35,8 +37,14 @@
 }
 
 func newNodes(conf *config.Config, sockets int, c *clock, n *note) *nodes {
-	return &nodes{byID: map[uint32]*node{}, conf: conf, clock: c, note: n, left: sockets, spare: sockets / 4,
-		dialer: net.Dialer{Timeout: conf.DialTimeout}}
+	s := &nodes{byID: map[uint32]*node{}, conf: conf, clock: c, note: n, left: sockets, spare: sockets / 4,
+		stale: staleAfter, dialer: net.Dialer{Timeout: conf.DialTimeout}}
+	for _, grace := range []time.Duration{conf.DrainGrace, conf.PurgeGrace} {
+		if grace > 0 {
+			s.stale = min(s.stale, grace/staleParts)
+		}
+	}
+	return s
 }
 
 // place notes where a node listens. Connections to where or what it was before take no more reqs.
@@ -48,8 +56,17 @@
 		n = &node{}
 		s.byID[m.ID] = n
 	}
-	if n.addr != m.Addr || n.born != m.BornUnix || m.State == control.Gone {
-		for _, c := range slices.Clone(n.conns) {
+	moved := n.addr != m.Addr || n.born != m.BornUnix
+	for _, c := range slices.Clone(n.conns) {
+		if moved || m.State != control.Ready { // what it was not sent yet it gets no more
+			for _, x := range c.open {
+				if !x.begun {
+					delete(c.open, x.ask.ID)
+					x.finish(Stale)
+				}
+			}
+		}
+		if moved || m.State == control.Gone {
 			c.retire()
 		}
 	}
@@ -66,7 +83,8 @@
 	ask    resp.Ask
 	at     time.Duration
 	conn   *conn
-	begun  bool // some of it may have been written
+	until  time.Duration // not to be begun then or later; 0: none
+	begun  bool          // some of it may have been written
 	wrote  time.Duration
 	over   bool
 
@@ -114,6 +132,7 @@
 // open makes the record of a connection that is to come up.
 func (s *nodes) open(n *node) *conn {
 	c := &conn{s: s, n: n, open: map[string]*dispatch{}, wake: make(chan struct{}, 1)}
+	c.dialing, c.giveUp = context.WithCancel(context.Background())
 	n.conns = append(n.conns, c)
 	return c
 }
@@ -215,3 +234,13 @@
 		x.conn.drop(x, why)
 	}
 }
+
+// unsend gives a dispatch up unless some of it may have been written.
+func (x *dispatch) unsend() {
+	s := x.r.d.nodes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !x.over && !x.begun && x.conn != nil {
+		x.conn.less(x, NeverSent)
+	}
+}
--- a/director/reload.go
+++ b/director/reload.go
@@ -2,6 +2,9 @@
 
 import (
 	"os"
+	"slices"
+
+	"github.com/sirupsen/logrus"
 
 	"indigochute.example/indigochute/config"
 )
@@ -25,6 +28,11 @@
 		d.log.WithError(err).Error("reload: faulty, the configuration in force stays")
 		return
 	}
+	if conf.Written != d.conf.Written || !slices.Equal(conf.Vhosts, d.conf.Vhosts) {
+		d.log.WithFields(logrus.Fields{"is": conf.Written, "was": d.conf.Written}).
+			Error("reload: name, listen or vhosts are another director's, the configuration in force stays")
+		return
+	}
 	d.log.WithField("journal", conf.Journal).Info("reload")
 	select {
 	case <-d.moves: // not seen yet, and out of date
--- a/director/req.go
+++ b/director/req.go
@@ -54,6 +54,10 @@
 // live is the life of a req: read it, ask the module, follow its orders, pass on the answer.
 func (r *req) live() {
 	defer r.end()
+	if r.gone() {
+		r.settle("left", func() {})
+		return
+	}
 	ask, err := r.ask()
 	r.seen = ask
 	if err == nil {
@@ -71,6 +75,11 @@
 	defer expired.Stop()
 	left := r.left
 	for r.settled == "" || r.open > 0 || len(r.todo) > 0 { // the client may leave before an order is followed
+		if left != nil && r.gone() { // before anything that has come as well
+			left = nil
+			r.settle("left", func() {})
+			r.tellLeft()
+		}
 		select {
 		case order := <-r.todo: // dispatch, withdraw, deny or abort
 			order()
@@ -79,10 +88,7 @@
 			if won := r.tell(x); won {
 				r.done(x)
 			}
-		case <-left:
-			left = nil
-			r.settle("left", func() {})
-			r.tellLeft()
+		case <-left: // seen above
 		case <-expired.C: // whatever the nodes do
 			for n := range r.sent {
 				r.withdraw(n, Expired)
@@ -91,6 +97,16 @@
 	}
 }
 
+// gone tells whether the client has left: closed its connection or cancelled the req.
+func (r *req) gone() bool {
+	select {
+	case <-r.left:
+		return true
+	default:
+		return false
+	}
+}
+
 // ask reads the fields that decisions need. What goes on to nodes must be fit to stand in their fields.
 func (r *req) ask() (a control.Ask, err error) {
 	vhost, ok := r.d.vhosts[r.msg.Vhost]
@@ -196,7 +212,7 @@
 	now := r.d.clock.now()
 	x := &dispatch{r: r, number: len(r.sent), at: now, ask: resp.Ask{ID: r.msg.Req, Vhost: r.msg.Vhost,
 		Obj: r.msg.Obj, Part: r.msg.Part, Idem: r.msg.Idem, Have: r.msg.Have, Order: o, Body: r.msg.Body,
-		Wait: r.deadline - now}}
+		Wait: r.deadline - now}, until: o.Until}
 	if o.Timeout > 0 {
 		x.ask.Wait = min(x.ask.Wait, o.Timeout)
 	}
@@ -205,7 +221,7 @@
 	}
 	r.sent = append(r.sent, x)
 	r.open++
-	if r.settled != "" || x.ask.Wait <= 0 {
+	if r.settled != "" || r.gone() || x.ask.Wait <= 0 {
 		x.finish(NeverSent)
 		return
 	}
@@ -279,7 +295,7 @@
 	r.d.mu.Lock()
 	back := r.d.dir.ComeBack(r.msg.ID)
 	r.d.mu.Unlock()
-	r.deny(back)
+	r.settle("denied", func() { r.from.post(msgpack.Denied(r.msg.ID, back)) }) // also from the client's reader, which must not wait
 }
 
 func (r *req) abort(why string) {
@@ -295,9 +311,10 @@
 		return
 	}
 	r.settled, r.settledAt = how, r.d.clock.now()
-	select {
-	case <-r.left:
-	default:
+	for _, x := range r.sent { // whatever the settings allow: what no node has needs none's consent
+		x.unsend()
+	}
+	if !r.gone() {
 		answer()
 	}
 	r.from.release(r)
--- a/director/shutdown.go
+++ b/director/shutdown.go
@@ -14,8 +14,8 @@
 const (
 	lateComers = 700 * time.Millisecond // from the signal: reqs are taken until then
 	leaveMost  = 3 * time.Second        // the longest client timeout, no more than this,
-	leaveMore  = 300 * time.Millisecond // and this from the signal: what is open is aborted
-	goodbye    = 200 * time.Millisecond // for the last answers to arrive
+	leaveMore  = 300 * time.Millisecond // and this from the signal: what is open is aborted,
+	leaveLast  = 300 * time.Millisecond // and after this more whoever is still there is left
 	lookEach   = 5 * time.Millisecond
 )
 
@@ -38,16 +38,27 @@
 	defer close(stop)
 	go d.runTimers(stop)
 	go d.follow(stop)
-	go d.accept(l)
+	accepted := make(chan struct{})
+	go func() {
+		d.accept(l)
+		close(accepted)
+	}()
 	d.log.WithField("listen", l.Addr()).Info("serving")
 	<-ctx.Done()
 	abort := time.Now().Add(min(d.longest(), leaveMost) + leaveMore)
 	d.leaving.Store(true)
 	d.log.Info("leaving")
 	time.Sleep(lateComers)
-	l.Close()
-	for d.clients.each(func(c *client) { c.finish(goodbye) }) > 0 { // what crosses this is sent again elsewhere
-		if time.Now().After(abort) {
+	if late, ok := l.(interface{ SetDeadline(time.Time) error }); ok { // whoever connected is still accepted, however late we are
+		late.SetDeadline(time.Now().Add(lookEach))
+	} else {
+		l.Close()
+	}
+	<-accepted                              // so that whoever it admitted counts below
+	for d.clients.each((*client).end) > 0 { // what crosses this is sent again elsewhere
+		if now := time.Now(); now.After(abort.Add(leaveLast)) {
+			d.clients.each(func(c *client) { c.close(Stopped, nil) })
+		} else if now.After(abort) {
 			d.abortAll()
 		}
 		time.Sleep(lookEach)
--- /dev/null
+++ b/director/shutdown_test.go
@@ -0,0 +1,257 @@
+package director
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// After the signal what comes is answered still; then the director ends by itself.
+func TestLeaving(t *testing.T) {
+	w := start(t, 1)
+	before := w.call("log", 5000, "1", "k", "7")
+	a := w.next("GET")
+	w.stop()
+	after := w.call("log", 5000, "2", "k", "7")
+	w.next("GET").reply(t, "HIT", "-", "b")
+	w.expect(after, "", "b")
+	a.reply(t, "HIT", "-", "a")
+	w.expect(before, "", "a")
+	select {
+	case <-w.served:
+	case <-time.After(patience):
+		t.Fatal("it stays")
+	}
+	if _, err := w.in.ReadByte(); err != io.EOF {
+		t.Errorf("the client's connection ends with %v", err)
+	}
+}
+
+// A req that is open for too long after the signal is aborted, not left to be killed.
+func TestLeavingWithoutAnswers(t *testing.T) {
+	w := start(t, 1)
+	id := w.call("order", 15000, "1")
+	w.next("GET")
+	w.stop()
+	if gotID, word, _ := w.answer(); gotID != id || word != "Fault" {
+		t.Fatalf("%d %q", gotID, word)
+	}
+	<-w.served
+}
+
+// What is read after the last answer was promised is not dispatched, since no answer could reach its client.
+func TestNothingIsTakenAfterTheEnd(t *testing.T) {
+	w := start(t, 1)
+	w.stop()
+	if _, err := w.in.ReadByte(); err != io.EOF { // our client sees the end, and writes all the same
+		t.Fatalf("%v", err)
+	}
+	for range 8 {
+		w.call("order", 5000, "x")
+	}
+	<-w.served
+	select {
+	case a := <-w.asks:
+		t.Errorf("a node got %v", a)
+	default:
+	}
+}
+
+// A req that lies unread when its connection is about to end is answered first, whether it rests, makes room or the
+// director leaves; so is one that is on its way in.
+func TestReqsInTheMomentOfTheEnd(t *testing.T) {
+	w := start(t, 1)
+	l := listen(t)
+	for name, text := range map[string]func(string) (string, string){
+		"whole": func(call string) (string, string) { return call, "" },
+		"half":  func(call string) (string, string) { return call[:20], call[20:] },
+	} {
+		here, there := w.accepted(l)
+		id, call := w.callText("page", 5000, "")
+		first, rest := text(call)
+		io.WriteString(there, first)
+		c := newClient(w.d, here)
+		w.until("readable", c.unread)
+		c.mu.Lock()
+		c.asked, c.heard = true, -time.Hour // silent for long, but for this
+		c.mu.Unlock()
+		c.end()
+		go c.read()
+		if rest != "" {
+			w.until("read", func() bool { return !c.unread() })
+			c.end() // while it is amid the message
+			io.WriteString(there, rest)
+		}
+		w.next("GET").reply(t, "HIT", "-", name)
+		nc, in := w.nc, w.in
+		w.nc, w.in = there, bufio.NewReader(there)
+		w.expect(id, "", name)
+		if _, err := w.in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: then %v", name, err)
+		}
+		w.nc, w.in = nc, in
+	}
+}
+
+// Connections end over nothing unread, which would take answers back: after a message that cannot be read, and at the
+// director's end, whatever the client still writes.
+func TestNoCloseOverUnreadBytes(t *testing.T) {
+	w := start(t, 1)
+	l := listen(t)
+	for name, write := range map[string]string{"unreadable": "\x94\x00\x01\xdb\xff\xff\xff\xff", "resting": ""} {
+		tcp, there := w.accepted(l)
+		here := &closing{tcp, make(chan int, 1)}
+		c := newClient(w.d, here)
+		go c.read()
+		io.WriteString(there, write)
+		if write == "" {
+			c.end()
+		}
+		in := bufio.NewReader(there)
+		if name == "unreadable" {
+			nc, wasIn := w.nc, w.in
+			w.nc, w.in = there, in
+			if _, word, _ := w.answer(); word != "Fault" {
+				t.Errorf("%q", word)
+			}
+			w.nc, w.in = nc, wasIn
+		}
+		if _, err := in.ReadByte(); err != io.EOF { // it has seen the end of the stream
+			t.Errorf("%s: %v", name, err)
+		}
+		there.Write(make([]byte, 300<<10))
+		if n := <-here.unread; n > 0 {
+			t.Errorf("%s: closed over %d bytes", name, n)
+		}
+	}
+}
+
+// An unreadable message ends its connection only after the reqs open on it have their answers.
+func TestAnswersBeforeTheEnd(t *testing.T) {
+	w := start(t, 1)
+	id := w.call("order", 8000, "x")
+	a := w.next("GET")
+	w.write("\x94\x00\x63\xdb\xff\xff\xff\xff")
+	if got, word, _ := w.answer(); got != 99 || word != "Fault" {
+		t.Errorf("%d %q", got, word)
+	}
+	a.reply(t, "HIT", "-", "all the same")
+	w.expect(id, "", "all the same")
+	if _, err := w.in.ReadByte(); err != io.EOF {
+		t.Errorf("then %v", err)
+	}
+}
+
+// lateListener brings one more connection just as it is told to take no more.
+type lateListener struct {
+	net.Listener
+	told chan struct{}
+	late chan net.Conn
+}
+
+func (l *lateListener) SetDeadline(time.Time) error {
+	close(l.told)
+	return nil
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.told
+	select {
+	case nc := <-l.late:
+		time.Sleep(100 * time.Millisecond) // so that whoever does not wait for it has gone
+		return nc, nil
+	default:
+		return nil, os.ErrDeadlineExceeded
+	}
+}
+
+// A connection that is accepted as the last client leaves is served.
+func TestAcceptedInTheLastMoment(t *testing.T) {
+	w := start(t, 1)
+	w.nc.Close()
+	l := &lateListener{listen(t), make(chan struct{}), make(chan net.Conn, 1)}
+	here, there := w.accepted(l.Listener)
+	l.late <- here
+	w.nc, w.in = there, bufio.NewReader(there)
+	id := w.call("page", 5000, "")
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		w.d.serve(ctx, l)
+		close(ended)
+	}()
+	stop()
+	w.next("GET").reply(t, "HIT", "-", "late")
+	w.expect(id, "", "late")
+	<-ended
+}
+
+// A signal that comes before the director serves, and a second one amid its leaving, change nothing of how it leaves; SIGHUP
+// amid leaving moves the watch.
+func TestSignalsInOtherOrders(t *testing.T) {
+	w := start(t, 1)
+	l := listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	ended := make(chan struct{})
+	go func() {
+		w.d.serve(ctx, l)
+		close(ended)
+	}()
+	w.nc = dial(t, l.Addr().String())
+	w.in = bufio.NewReader(w.nc)
+	w.serves("page", "", "-", "after the signal")
+	there := listen(t)
+	moved := *w.d.conf
+	moved.Journal = netip.MustParseAddrPort(there.Addr().String())
+	w.d.reload(&moved, nil)
+	w.hello(there)
+	<-ended
+}
+
+// The last answers cross the aborts of what is still open: none gets two, and a client that reads nothing holds up the end
+// for a bounded time.
+func TestAbortsCrossAnswers(t *testing.T) {
+	w := start(t, 1)
+	here, there := net.Pipe() // takes nothing that is not read
+	c := newClient(w.d, here)
+	go c.read()
+	w.d.clients.admit(c, 0)
+	quick := w.nc
+	w.nc = there
+	id := w.call("log", 8000, "", "k", "7")
+	w.next("GET").reply(t, "HIT", "-", strings.Repeat("x", 1000))
+	w.until("being written", func() bool {
+		w.d.mu.Lock()
+		defer w.d.mu.Unlock()
+		for _, r := range w.d.reqs {
+			return !r.owed
+		}
+		return false
+	})
+	w.d.abortAll()
+	w.d.abortAll()
+	w.in = bufio.NewReader(there)
+	w.expect(id, "", strings.Repeat("x", 1000))
+	there.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if b, err := w.in.ReadByte(); err == nil {
+		t.Errorf("a second answer begins with %x", b)
+	}
+	there.SetReadDeadline(time.Now().Add(patience))
+	w.nc = there
+	w.call("order", 15000, "never answered, never read")
+	w.next("GET")
+	w.nc = quick
+	before := time.Now()
+	w.stop()
+	<-w.served
+	if took := time.Since(before); took > leaveMost+leaveMore+leaveLast+time.Second {
+		t.Errorf("it stays for %v", took)
+	}
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -228,6 +228,14 @@
 func FormatID(id uint32) string { return fmt.Sprintf("s-%08x", id) }
 
 // Gap says that events are missing.
-type Gap struct{ Last, Next uint64 }
+type Gap struct {
+	Last, Next uint64
+	Empty      bool // an empty frame tells so
+}
 
-func (g Gap) Error() string { return fmt.Sprintf("feed: event %d after %d", g.Next, g.Last) }
+func (g Gap) Error() string {
+	if g.Empty {
+		return fmt.Sprintf("feed: the newest event is %d, the last that came %d", g.Next, g.Last)
+	}
+	return fmt.Sprintf("feed: event %d after %d", g.Next, g.Last)
+}
