Of many rested directors few are the first at a cold machine; repeats carry their window

Cause, by a sum over directors (control/cold_test.go): each may overdraw its budget at a cold machine by one call, so that after a quiet time all can send at once. Change: a director whose budget is full but is worth less than one call is let first by chance, so that all together send what may be saved up and half of what is chance, drawn anew every four windows.

--- /dev/null
+++ b/control/cold_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// Cold machines under the sum of all directors. Beyond the calls that a machine stands in a window only chance is left:
+// twice the root of their number, and two.
+
+const coldStep = 20 * time.Millisecond
+
+// coldSum plays directors that all send to one cold cache whatever its budget there lets them, when a demand says so, and
+// tells by how much, of what chance may add, the calls of the worst window lay over what the cache stands.
+func coldSum(seed uint64, many int, calls float64, restart bool, wants func(i int, at time.Duration) bool) float64 {
+	const send, step = 100 * time.Millisecond, coldStep
+	set := settings0()
+	k := set.Cache
+	capacity := calls * send.Seconds() / (k.Multiple * k.Floor * k.Window.Seconds()) // transfers at once when warm
+	begin := func(i int, now time.Duration, again uint64) *Director {
+		s := set
+		s.Directors, s.Here, s.Me, s.Seed = many, many, i, hash(seed, uint64(i), again)
+		d := Start(s, &world{})
+		for _, v := range d.vhosts {
+			v.send = send
+		}
+		d.List(now, []Listed{{Node: 9, State: Ready, Zone: 1}, {Node: 10, State: Ready, Zone: 1, Booted: true, Boot: 0}}, true)
+		d.nodes[9].take = capacity / float64(many) // its like took all that it could
+		return d
+	}
+	var all []*Director
+	for i := range many {
+		all = append(all, begin(i, 0, 0))
+	}
+	var sent []time.Duration
+	for now := step; now < k.Ramp; now += step {
+		for i, d := range all {
+			if restart && hash(seed, uint64(i), uint64(now))%uint64(k.Ramp/step) == 0 { // each once in the ramp
+				all[i] = begin(i, now, uint64(now))
+				d = all[i]
+			}
+			n := d.nodes[10]
+			if wants(i, now) && d.budget(now, n) {
+				n.credit -= send.Seconds()
+				sent = append(sent, now)
+			}
+		}
+	}
+	worst, first := math.Inf(-1), 0
+	for i, at := range sent {
+		for at-sent[first] >= k.Window {
+			first++
+		}
+		part := k.Floor + (1-k.Floor)*max(0, sent[first]-k.Window).Seconds()/k.Ramp.Seconds()
+		stands := calls * part / k.Floor
+		worst = max(worst, (float64(i-first+1)-stands)/(2*math.Sqrt(stands)+2))
+	}
+	return worst
+}
+
+// Demand comes by chance, at up to eight times what the machine carries when warm: at once from its start, in a rush after a
+// quiet time, or in bursts; directors restart in its ramp or not. What it may be asked for without end is told, not judged.
+func TestSumAtAColdMachine(t *testing.T) {
+	k := settings0().Cache
+	quiet := func(seed uint64) time.Duration { return time.Duration(1000+hash(seed)%10000) * time.Millisecond }
+	for name, when := range map[string]func(seed uint64, at time.Duration) bool{
+		"at once":            func(uint64, time.Duration) bool { return true },
+		"after a quiet time": func(seed uint64, at time.Duration) bool { return at >= quiet(seed) },
+		"in bursts":          func(_ uint64, at time.Duration) bool { return at%(4*k.Window) < k.Window/2 },
+	} {
+		for _, many := range []int{1, 5, 20, 30, 100, 300} {
+			for _, calls := range []float64{12, 20, 54} { // two transfers at once are the least that any machine carries
+				for _, load := range []float64{1, 4, 8, math.Inf(1)} {
+					chance := load * calls / (k.Multiple * k.Floor * k.Window.Seconds()) / float64(many) * coldStep.Seconds()
+					worst := math.Inf(-1)
+					for seed := range uint64(6) {
+						worst = max(worst, coldSum(seed, many, calls, seed%2 == 1, func(i int, at time.Duration) bool {
+							return when(seed, at) && unit(hash(seed, uint64(i), uint64(at), 5)) < chance
+						}))
+					}
+					told := fmt.Sprintf("%s, %d directors, %g calls, %g times the load: %.2f of what chance may add", name, many, calls, load, worst)
+					if math.IsInf(load, 1) {
+						t.Log(told)
+					} else if worst > 1 {
+						t.Error(told)
+					}
+				}
+			}
+		}
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -68,6 +68,7 @@
 
 	coldSafety  = 0.75                   // of a cold machine's budget, as its capacity is a guess
 	coldBurst   = 0.25                   // of a window's budget may be saved up
+	coldTurn    = 4.0                    // windows until it is drawn anew who may be first there
 	coldLeast   = 2.0                    // transfers at once that any machine carries when warm
 	takeFades   = 0.95                   // by period while it answers: a peak counts for seconds
 	againEach   = 0.15                   // further dispatches earned by each req
@@ -357,18 +358,23 @@
 	young := max(0, now-n.boot-k.Window)
 	part := k.Floor + (1-k.Floor)*young.Seconds()/k.Ramp.Seconds()
 	rate := coldSafety * k.Multiple * part * max(d.takes(n), coldLeast/d.sharers(n))
-	n.credit = min(n.credit+rate*(now-n.creditAt).Seconds(), rate*k.Window.Seconds()*coldBurst)
+	saved, call := rate*k.Window.Seconds()*coldBurst, d.longest().Seconds()
+	n.credit = min(n.credit+rate*(now-n.creditAt).Seconds(), saved)
 	n.creditAt = now
-	return n.credit > 0
+	if n.credit < saved || saved >= call {
+		return n.credit > 0
+	}
+	// Rested, it might be the first of a rush, in which each of many would overdraw by one. So few may that all
+	// are what may be saved up and half of what is chance; who may is drawn anew now and then.
+	stands := rate / coldSafety * k.Window.Seconds() * d.sharers(n) / call
+	drawn, turn := hash(d.identity, uint64(n.id)), coldTurn*k.Window.Seconds()
+	turns := uint64(now.Seconds()/turn + unit(drawn))
+	return unit(hash(drawn, turns)) < (coldBurst*stands+math.Sqrt(stands)+1)/d.sharers(n)
 }
 
 // chill begins a machine's cold time.
 func (d *Director) chill(now time.Duration, n *node, boot time.Duration) {
-	most := time.Duration(0)
-	for _, v := range d.vhosts {
-		most = max(most, v.send)
-	}
-	n.booted, n.boot, n.creditAt, n.credit = true, boot, now, -unit(d.chance(n.id))*most.Seconds()
+	n.booted, n.boot, n.creditAt, n.credit = true, boot, now, -unit(d.chance(n.id))*d.longest().Seconds()
 }
 
 // send is the one place through which every dispatch passes.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -345,6 +345,28 @@
 	}
 }
 
+// The repeat of a uniqued req says until when it may be begun: within the window of the first that may have run.
+func TestRepeatsEndWithTheirWindow(t *testing.T) {
+	w := calm(t, 4)
+	for _, vhost := range []int{0, 2} {
+		from := w.now
+		id := w.ask(vhost, 5, 0)
+		if w.last.Until != 0 {
+			t.Errorf("vhost %d: the first is to be begun by %v", vhost, w.last.Until)
+		}
+		w.run(w.now + 20*ms)
+		w.end(id, Outcome{Ending: Failed})
+		want := time.Duration(0)
+		if vhost == 2 {
+			want = from + w.set.Vhosts[2].Window - answerEarly
+		}
+		if len(w.asks[id].tries) != 2 || w.last.Until != want {
+			t.Errorf("vhost %d: %d dispatches, the last to be begun by %v, not %v", vhost, len(w.asks[id].tries), w.last.Until, want)
+		}
+		w.end(id, Outcome{Dispatch: 1})
+	}
+}
+
 // With one parent out the other must not carry all its fills: the origin takes a share.
 func TestOneParentAloneSharesWithTheOrigin(t *testing.T) {
 	w := calm(t, 4)
--- a/control/state.go
+++ b/control/state.go
@@ -416,3 +416,11 @@
 
 // LeastAway is the part of a hot object that goes to others than its home whatever their loads.
 const LeastAway = leastAway
+
+// longest is the mean sending time of the vhost where that is most.
+func (d *Director) longest() (most time.Duration) {
+	for _, v := range d.vhosts {
+		most = max(most, v.send)
+	}
+	return most
+}
