An ID used again does not meet a second answer to its first req

A bad client may use an ID again after its end; a node's second answer, some ms late, then passed for one to the new req, as the connection was free again. A connection that lately carried an ID is passed over for it. Forced by TestIDAgainAfterItsEnd, which fails without.

--- a/director/conn.go
+++ b/director/conn.go
@@ -20,6 +20,7 @@
 	answerStop = 500 * time.Millisecond // and that it may stop meanwhile
 	staleAfter = 300 * time.Millisecond // an order not begun by then is void, as list and purges may have changed,
 	staleParts = 3                      // or by this part of the shortest grace in the settings
+	pastIDs    = 16                     // that a second answer may still come to
 )
 
 // conn is one connection to a node; it carries many reqs. All but nc's reading and writing belongs to the lock
@@ -31,7 +32,9 @@
 	dialing context.Context
 	giveUp  context.CancelFunc
 	open    map[string]*dispatch
-	retired bool // takes no more reqs, closes when the last has ended
+	past    [pastIDs]string // ids of those that ended last,
+	pastAt  int             // and where the next goes
+	retired bool            // takes no more reqs, closes when the last has ended
 	ended   bool
 	out     []item
 	wake    chan struct{}
@@ -86,6 +89,10 @@
 // less ends a dispatch on the connection.
 func (c *conn) less(x *dispatch, e Ending) {
 	delete(c.open, x.ask.ID)
+	if x.begun {
+		c.past[c.pastAt%pastIDs] = x.ask.ID
+		c.pastAt++
+	}
 	x.finish(e)
 	c.used = c.s.clock.now()
 	if c.retired {
--- a/director/conn_test.go
+++ b/director/conn_test.go
@@ -396,3 +396,20 @@
 		}
 	}
 }
+
+// A client that uses an id again after its end: a second answer to the first, some ms late, must not pass for one to the second.
+func TestIDAgainAfterItsEnd(t *testing.T) {
+	w := start(t, 1)
+	first := w.call("page", 5000, "", "i", "00000000000000ee")
+	a := w.next("GET")
+	a.reply(t, "HIT", "-", "to the first")
+	w.expect(first, "", "to the first")
+	second := w.call("page", 5000, "", "i", "00000000000000ee", "o", "00000000000000b2")
+	b := w.next("GET")
+	a.reply(t, "HIT", "-", "to the first")
+	if b.conn == a.conn {
+		t.Error("on the connection that the first went over")
+	}
+	b.reply(t, "HIT", "-", "to the second")
+	w.expect(second, "", "to the second")
+}
--- a/director/nodes.go
+++ b/director/nodes.go
@@ -138,12 +138,13 @@
 }
 
 // pick finds the connection with the fewest reqs open, of idle ones the one used last. None may carry the same req
-// twice, as an answer to the first dispatch would pass for one to the second.
+// twice, or lately had one whose id a client uses again, as an answer to the first would pass for one to the second.
 func (n *node) pick(x *dispatch) (best *conn) {
 	s := x.r.d.nodes
 	now := s.clock.now()
 	for _, c := range n.conns {
-		if c.retired || c.stuck(now) || len(c.open) >= s.conf.Streams || x.r.sentOver(c) {
+		if c.retired || c.stuck(now) || len(c.open) >= s.conf.Streams || x.r.sentOver(c) ||
+			slices.Contains(c.past[:], x.ask.ID) {
 			continue
 		}
 		if len(c.open) == 0 && c.nc != nil && now-c.used > s.conf.ConnIdle*4/5 {
