--- a/cmd/director/process_test.go
+++ b/cmd/director/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -34,7 +33,6 @@
 	cmd  *exec.Cmd
 	addr string
 	path string // of its configuration
-	errs bytes.Buffer
 	done chan error
 }
 
@@ -61,7 +59,12 @@
 	p.configure(sockets, journal, node)
 	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %q", sockets, os.Args[0]))
 	p.cmd.Env = append(os.Environ(), "DIRECTOR_PROCESS=1", "ROUTER_CONFIG="+p.path)
-	p.cmd.Stderr = &p.errs
+	errs, err := os.Create(p.path + ".log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer errs.Close() // the process has its own
+	p.cmd.Stderr = errs
 	before := time.Now()
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -77,7 +80,7 @@
 			}
 		}
 		if time.Since(before) > 30*time.Second {
-			t.Fatalf("not ready: %s", &p.errs)
+			t.Fatalf("not ready: %s", p.logged())
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -93,6 +96,15 @@
 	}
 }
 
+// logged is what the process has logged so far.
+func (p *process) logged() string {
+	b, err := os.ReadFile(p.path + ".log")
+	if err != nil {
+		p.t.Error(err)
+	}
+	return string(b)
+}
+
 func (p *process) alive(nc net.Conn) bool {
 	nc.SetDeadline(time.Now().Add(5 * time.Second))
 	nc.Write(msgpack.AppendAlive(nil, 1))
@@ -106,7 +118,7 @@
 	select {
 	case err := <-p.done:
 		if err != nil {
-			p.t.Errorf("ended with %v: %s", err, &p.errs)
+			p.t.Errorf("ended with %v: %s", err, p.logged())
 		}
 	case <-time.After(10 * time.Second):
 		p.t.Error("it stays")
@@ -197,8 +209,8 @@
 		t.Errorf("the node gets %q, %v", line, err)
 	}
 	fds()
-	if most >= sockets || strings.Contains(p.errs.String(), "too many open files") {
-		t.Errorf("%d of %d descriptors: %s", most, sockets, &p.errs)
+	if most >= sockets || strings.Contains(p.logged(), "too many open files") {
+		t.Errorf("%d of %d descriptors: %s", most, sockets, p.logged())
 	}
 	t.Logf("%d of %d descriptors at most", most, sockets)
 }
