Rig: processes under names of the caller's, their usage; the relay reuses buffers and tells

Cause: a rehearsal of hundreds of directors needs control machines without clients beside real directors, each with an operator file of its own region, what processes use, and word of which connections were answered and cut. Change: rig.Options.Processes and OperatorFile, Proc.Usage, Counter.Addr, standin.ConfigOf; relay.Link.Seen. A way of the relay reads into a buffer of its own that begins at 1 KB and keeps only what came, where each read took 16 KB anew.

--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -68,9 +68,37 @@
 	change chan struct{}
 	pairs  map[*pair]bool
 	after  int // bytes forward until a cut amid them; 0: none is meant
+	seen   Seen
 	ended  bool
 }
 
+// Seen is what became of a link's connections. One that was answered had bytes go back to who dialled.
+type Seen struct {
+	Open     int         // connections that it has now
+	Cut      int         // that Cut reset
+	Answered []time.Time // when each was answered first, in order; of the latest 4,096
+}
+
+const mostAnswered = 4096
+
+// Seen tells what became of the link's connections so far.
+func (k *Link) Seen() Seen {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.seen
+	s.Open, s.Answered = len(k.pairs), slices.Clone(s.Answered)
+	return s
+}
+
+func (k *Link) answered() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.seen.Answered) == mostAnswered {
+		k.seen.Answered = slices.Delete(k.seen.Answered, 0, 1)
+	}
+	k.seen.Answered = append(k.seen.Answered, time.Now())
+}
+
 // Link opens one to an address. The address may be one where nobody listens yet.
 func (n *Net) Link(name, to string) (*Link, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -163,7 +191,11 @@
 func (n *Net) Cut(pattern string) {
 	n.note("cut " + pattern)
 	for _, k := range n.Links(pattern) {
-		for _, p := range k.all() {
+		all := k.all()
+		k.mu.Lock()
+		k.seen.Cut += len(all)
+		k.mu.Unlock()
+		for _, p := range all {
 			p.reset()
 		}
 	}
@@ -316,7 +348,8 @@
 const (
 	holdFor = time.Minute // a connection that is dropped all the while is reset then
 	pieces  = 256         // held between the two sockets of a way
-	piece   = 16 << 10    // bytes of one at most
+	piece   = 16 << 10    // bytes of one at most,
+	little  = 1 << 10     // and of one at first: links are many, and most carry little
 )
 
 type chunk struct {
@@ -330,10 +363,14 @@
 	go func() {
 		defer close(queue)
 		last := time.Time{}
+		b := make([]byte, little)
 		for {
-			b := make([]byte, piece)
 			n, err := from.Read(b)
 			if n > 0 {
+				held := slices.Clone(b[:n])
+				if n == len(b) && n < piece {
+					b = make([]byte, 2*n)
+				}
 				f, _ := p.k.fault(way)
 				due := time.Now().Add(f.Delay)
 				if f.Jitter > 0 {
@@ -344,7 +381,7 @@
 				}
 				last = due
 				select {
-				case queue <- chunk{b[:n], due}:
+				case queue <- chunk{held, due}:
 				case <-p.over:
 					return
 				}
@@ -354,6 +391,7 @@
 			}
 		}
 	}()
+	answered := false
 	for c := range queue {
 		if !p.wait(time.Until(c.due)) || !p.pass(way, &c, to) {
 			p.reset()
@@ -361,6 +399,10 @@
 			}
 			return
 		}
+		if way == 1 && !answered {
+			answered = true
+			p.k.answered()
+		}
 	}
 	// The sender has no more to say: its end goes on as one, unless it was a reset.
 	if t, ok := to.(*net.TCPConn); !ok || t.CloseWrite() != nil {
--- a/lab/relay/relay_test.go
+++ b/lab/relay/relay_test.go
@@ -147,3 +147,38 @@
 		t.Errorf("%v %v %v", err, told, time.Since(began))
 	}
 }
+
+// What is carried arrives whole whatever its size, and a link tells which connections were answered and which were cut.
+func TestCarriesWholeAndTells(t *testing.T) {
+	n := New(1, nil)
+	defer n.Close()
+	k, err := n.Link("a>b", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := make([]byte, 600<<10)
+	for i := range text {
+		text[i] = byte('a' + i*i%23)
+	}
+	c := dial(t, k)
+	c.nc.SetDeadline(time.Now().Add(10 * time.Second))
+	go c.nc.Write(text)
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c.nc, got); err != nil || string(got) != string(text) {
+		t.Fatalf("%v, and what came back is what was sent: %v", err, string(got) == string(text))
+	}
+	mute := dial(t, k) // says nothing, and so is not answered
+	for until := time.Now().Add(5 * time.Second); k.Seen().Open < 2 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if s := k.Seen(); s.Open != 2 || s.Cut != 0 || len(s.Answered) != 1 {
+		t.Errorf("before the cut: %+v", s)
+	}
+	n.Cut("a>b")
+	if s := k.Seen(); s.Open != 0 || s.Cut != 2 || len(s.Answered) != 1 {
+		t.Errorf("after it: %+v", s)
+	}
+	if _, err := mute.say("x", time.Second); err == nil {
+		t.Error("cut, and heard")
+	}
+}
--- a/lab/rig/counter.go
+++ b/lab/rig/counter.go
@@ -53,6 +53,9 @@
 	return c, err
 }
 
+// Addr is where the counter is asked.
+func (c *Counter) Addr() string { return c.desk.Addr() }
+
 var errOld = errors.New("an older fencing number than one seen before")
 
 func (c *Counter) take(payload []byte, begin bool) (*counted, error) {
--- a/lab/rig/idle_test.go
+++ b/lab/rig/idle_test.go
@@ -2,31 +2,19 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 )
 
 // used is the core time and the resident memory of a process.
-func (p *Proc) used(t *testing.T) (cpu time.Duration, resident int) {
+func (p *Proc) used(t *testing.T) (cpu time.Duration, resident int64) {
 	t.Helper()
-	pid := p.cmd.Process.Pid
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	cpu, resident, err := p.Usage()
 	if err != nil {
 		t.Fatal(err)
 	}
-	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
-	user, _ := strconv.Atoi(fields[11])
-	system, _ := strconv.Atoi(fields[12])
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, after, _ := strings.Cut(string(status), "VmRSS:")
-	resident, _ = strconv.Atoi(strings.Fields(after)[0])
-	return time.Duration(user+system) * 10 * time.Millisecond, resident * 1024
+	return cpu, resident
 }
 
 // An instance among three with 1,000 duties that rest costs little.
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -34,6 +34,16 @@
 	Silent    bool      // no operator files: directors that never talk
 	Alone     bool      // each operator file names its own director only
 	Clocks    []float64 // how fast each instance's clock for duties runs; shorter: 1
+
+	// Processes, where set, are run in place of so many Directors, under names and with operator files of the caller's.
+	Processes    []Process
+	OperatorFile func(r *Rig, p *Proc) (string, error) // text of a process's file; set with Processes
+}
+
+// Process is one that is to be run.
+type Process struct {
+	Name    string
+	Clients bool // clients of the stand-in fleet come to it
 }
 
 // Small is a fleet that a shared machine carries easily.
@@ -84,8 +94,9 @@
 	Client netip.AddrPort // where clients come
 	Peer   string         // where the other directors come, past any relay
 	r      *Rig
-	i      int
-	gone   func() // tells the stand-in fleet that no client is to come any more
+	me     int    // its number among the directors that clients come to
+	i      int    // and among all processes
+	gone   func() // tells the stand-in fleet that no client is to come any more; nil: none ever comes
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -101,6 +112,18 @@
 	if text == "" {
 		text = Small
 	}
+	if o.Processes == nil {
+		for i := range o.Directors {
+			o.Processes = append(o.Processes, Process{Name: "n" + strconv.Itoa(i), Clients: true})
+		}
+	} else {
+		o.Directors = 0
+		for _, x := range o.Processes {
+			if x.Clients {
+				o.Directors++
+			}
+		}
+	}
 	f, err := fleet.Parse("rig", []byte(fmt.Sprintf(text, o.Directors)))
 	if err != nil {
 		return nil, err
@@ -133,9 +156,16 @@
 	if err != nil {
 		return err
 	}
-	for i := range o.Directors {
-		p := &Proc{Name: "n" + strconv.Itoa(i), r: r, i: i, log: &bytes.Buffer{}}
-		if p.Client, p.gone, err = r.Fleet.External(0); err != nil {
+	clients := 0
+	for i, x := range o.Processes {
+		p := &Proc{Name: x.Name, r: r, i: i, me: clients, log: &bytes.Buffer{}}
+		if x.Clients {
+			p.Client, p.gone, err = r.Fleet.External(0)
+			clients++
+		} else {
+			p.Client, err = standin.FreePort()
+		}
+		if err != nil {
 			return err
 		}
 		addr, err := standin.FreePort()
@@ -209,7 +239,9 @@
 	}
 	if r.Fleet != nil {
 		for _, p := range r.Procs {
-			p.gone()
+			if p.gone != nil {
+				p.gone()
+			}
 		}
 		r.Fleet.Close()
 	}
@@ -228,6 +260,13 @@
 	if p.r.o.Silent {
 		return nil
 	}
+	if p.r.o.OperatorFile != nil {
+		text, err := p.r.o.OperatorFile(p.r, p)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(p.path(".yaml"), []byte(text), 0o600)
+	}
 	var b strings.Builder
 	b.WriteString("instances:\n")
 	for _, o := range p.r.Procs {
@@ -244,7 +283,7 @@
 		}
 		fmt.Fprintf(&b, "  - {name: %s, address: %q}\n", o.Name, at)
 	}
-	k, err := p.r.Net.Link(p.Name+">counter", p.r.Counter.desk.Addr())
+	k, err := p.r.Net.Link(p.Name+">counter", p.r.Counter.Addr())
 	if err != nil {
 		return err
 	}
@@ -293,7 +332,7 @@
 
 // Start runs the process, which knows nothing of any life before.
 func (p *Proc) Start() error {
-	raw, err := p.r.Fleet.Config(0, p.i, p.Client.String())
+	raw, err := p.r.Fleet.ConfigOf(p.Name, 0, p.me, p.Client.String())
 	if err != nil {
 		return err
 	}
@@ -383,6 +422,39 @@
 	return p.Start()
 }
 
+// Usage is the processor time that the process took in its present life, in steps of 10 ms, and its resident memory in
+// bytes. It fails where the process does not run.
+func (p *Proc) Usage() (cpu time.Duration, resident int64, err error) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return 0, 0, fmt.Errorf("rig: %s does not run", p.Name)
+	}
+	return Usage(cmd.Process.Pid)
+}
+
+// Usage is the processor time that a process of any sort took so far, in steps of 10 ms, and its resident memory in bytes.
+func Usage(pid int) (cpu time.Duration, resident int64, err error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:])) // from the state on, the third of proc(5)
+	if len(fields) < 22 {
+		return 0, 0, fmt.Errorf("rig: /proc/%d/stat: %d fields after the name", pid, len(fields))
+	}
+	var numbers [3]int64
+	for i, at := range []int{11, 12, 21} {
+		if numbers[i], err = strconv.ParseInt(fields[at], 10, 64); err != nil {
+			return 0, 0, fmt.Errorf("rig: /proc/%d/stat: %w", pid, err)
+		}
+	}
+	return time.Duration(numbers[0]+numbers[1]) * tick, numbers[2] * int64(os.Getpagesize()), nil
+}
+
+const tick = 10 * time.Millisecond // in which Linux tells processor time
+
 // Status asks the process itself, past every relay.
 func (p *Proc) Status() (*crew.Status, error) { return crew.One(p.Peer) }
 
--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -287,13 +287,18 @@
 
 // Config is the configuration of a director of a zone before this fleet, in the platform's form.
 func (s *Fleet) Config(zone, me int, listen string) ([]byte, error) {
+	return s.ConfigOf("n"+strconv.Itoa(me), zone, me, listen)
+}
+
+// ConfigOf is that of a director of another name.
+func (s *Fleet) ConfigOf(name string, zone, me int, listen string) ([]byte, error) {
 	zones, kinds := []string{}, []string{"cache", "parent", "origin"}
 	for _, z := range s.f.Zones {
 		zones = append(zones, z.Name)
 	}
 	number, machines := s.journal.known()
 	seed := s.o.Seed + uint64(me)*0x9e3779b97f4a7c15
-	return s.f.Config("n"+strconv.Itoa(me), listen, s.journal.addr.String(), zone, me, seed, feed.KnownJSON(number, machines, zones, kinds))
+	return s.f.Config(name, listen, s.journal.addr.String(), zone, me, seed, feed.KnownJSON(number, machines, zones, kinds))
 }
 
 func (s *Fleet) prepare(zone, me int) (*instance, error) {
