stream: core of the notes from control machines to all directors, API first

Each director dials every other today, at a cost that is straight in their number. Notes from few control machines to all directors need a log that is tail and state at once: numbered by origin and epoch, compacted by key, bounded, with positions, and the exchange by which control machines keep up with each other.

--- /dev/null
+++ b/stream/bug_gap.go
@@ -0,0 +1,5 @@
+//go:build gapread
+
+package stream
+
+const gapIsRead = true
--- /dev/null
+++ b/stream/log.go
@@ -0,0 +1,292 @@
+package stream
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// entry is one note that is kept.
+type entry struct {
+	log     *epochLog
+	number  uint64
+	arrival uint64 // rises over all that the store has kept
+	until   time.Duration
+	life    time.Duration
+	key     string
+	payload []byte
+	gone    bool // superseded, expired or evicted: its place in a list or heap has not been cleared yet
+}
+
+const entryHead = 256 // bytes that an entry takes beside its key and payload, about: itself, its places in list, heap and index
+
+func (e *entry) size() int { return len(e.key) + len(e.payload) + entryHead }
+
+// epochLog is what is kept of one origin's notes within one epoch, and how far that goes.
+type epochLog struct {
+	origin string
+	epoch  uint64
+	head   uint64 // all up to it was taken
+	floor  uint64 // some up to it were evicted: who is below will miss them
+	// entries by number. First and last of them live; between there are no more that are gone than such as live and
+	// sparse on top, so that who looks for what follows a position passes by few.
+	entries []*entry
+	live    int
+}
+
+const sparse = 64
+
+// store is the logs of all origins, bounded in entries and bytes together.
+type store struct {
+	mostEntries, mostBytes int
+	origins                map[string]*originLogs
+	own                    *epochLog   // never dropped
+	sorted                 []*epochLog // by origin, then epoch
+	changed                uint64      // rises as sorted changes
+	expiry                 expiry
+	arrivals               uint64
+	entries, bytes         int
+	evicted                int
+}
+
+type originLogs struct {
+	newest map[string]*entry // of each key
+	epochs int               // logs
+	floor  uint64            // logs of epochs below were evicted
+}
+
+func newStore(entries, bytes int, origins []string) *store {
+	s := &store{mostEntries: entries, mostBytes: bytes, origins: map[string]*originLogs{}}
+	for _, name := range origins {
+		s.origins[name] = &originLogs{newest: map[string]*entry{}}
+	}
+	return s
+}
+
+func (s *store) find(origin string, epoch uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.sorted, Position{origin, epoch, 0}, func(l *epochLog, p Position) int {
+		return cmp.Or(cmp.Compare(l.origin, p.Origin), cmp.Compare(l.epoch, p.Epoch))
+	})
+}
+
+// log is that of an epoch; nil: there is none.
+func (s *store) log(origin string, epoch uint64) *epochLog {
+	if i, ok := s.find(origin, epoch); ok {
+		return s.sorted[i]
+	}
+	return nil
+}
+
+// admits tells whether there is a log of an epoch, or can be one.
+func (s *store) admits(origin string, epoch uint64) bool {
+	o := s.origins[origin]
+	if o == nil || epoch < o.floor {
+		return false
+	}
+	i, ok := s.find(origin, epoch)
+	return ok || o.epochs < logEpochs || i > s.oldest(origin)
+}
+
+// oldest is where the log is that makes room first, of an origin that has several.
+func (s *store) oldest(origin string) int {
+	i, _ := s.find(origin, 0)
+	if s.sorted[i] == s.own {
+		i++
+	}
+	return i
+}
+
+// open is the log of an epoch that is admitted, made at need: the origin's oldest makes room.
+func (s *store) open(origin string, epoch uint64) *epochLog {
+	i, ok := s.find(origin, epoch)
+	if ok {
+		return s.sorted[i]
+	}
+	l := &epochLog{origin: origin, epoch: epoch}
+	s.sorted = slices.Insert(s.sorted, i, l)
+	s.changed++
+	o := s.origins[origin]
+	if o.epochs++; o.epochs > logEpochs {
+		oldest := s.sorted[s.oldest(origin)]
+		for len(oldest.entries) > 0 {
+			s.evict(oldest)
+		}
+		o.floor = max(o.floor, oldest.epoch+1)
+		s.drop(oldest)
+	}
+	return l
+}
+
+// drop forgets a log that is empty.
+func (s *store) drop(l *epochLog) {
+	if i, ok := s.find(l.origin, l.epoch); ok {
+		s.sorted = slices.Delete(s.sorted, i, i+1)
+		s.origins[l.origin].epochs--
+		s.changed++
+	}
+}
+
+// dropPast forgets logs with nothing left in them of epochs that others followed.
+func (s *store) dropPast() {
+	for i := len(s.sorted) - 2; i >= 0; i-- {
+		if l := s.sorted[i]; l.origin == s.sorted[i+1].origin && len(l.entries) == 0 && l != s.own {
+			s.drop(l)
+		}
+	}
+}
+
+// add keeps a note as the last of its log, unless a newer epoch's supersedes it: then it tells no. What must make room for
+// it goes first.
+func (s *store) add(now time.Duration, l *epochLog, n *Note) bool {
+	o := s.origins[l.origin]
+	if old := o.newest[n.Key]; old != nil {
+		if old.log.epoch > l.epoch {
+			return false
+		}
+		s.remove(old)
+	}
+	s.arrivals++
+	e := &entry{log: l, number: n.Number, arrival: s.arrivals, until: now + n.Life - n.Age, life: n.Life, key: n.Key, payload: n.Payload}
+	for s.entries > 0 && (s.entries >= s.mostEntries || s.bytes+e.size() > s.mostBytes) {
+		if s.expire(now); s.entries >= s.mostEntries || s.bytes+e.size() > s.mostBytes {
+			s.evictOldest()
+		}
+	}
+	l.entries = append(l.entries, e)
+	l.live++
+	o.newest[n.Key] = e
+	s.entries++
+	s.bytes += e.size()
+	heap.Push(&s.expiry, e)
+	return true
+}
+
+// expire removes what has expired.
+func (s *store) expire(now time.Duration) {
+	for len(s.expiry) > 0 && (s.expiry[0].gone || s.expiry[0].until <= now) {
+		if e := heap.Pop(&s.expiry).(*entry); !e.gone {
+			s.remove(e)
+		}
+	}
+}
+
+// evictOldest removes what has been kept for longest.
+func (s *store) evictOldest() {
+	var oldest *epochLog
+	for _, l := range s.sorted {
+		if len(l.entries) > 0 && (oldest == nil || l.entries[0].arrival < oldest.entries[0].arrival) {
+			oldest = l
+		}
+	}
+	if oldest != nil {
+		s.evict(oldest)
+	}
+}
+
+// evict removes a log's first entry while it lives.
+func (s *store) evict(l *epochLog) {
+	l.floor = max(l.floor, l.entries[0].number)
+	s.evicted++
+	s.remove(l.entries[0])
+}
+
+// remove takes an entry out.
+func (s *store) remove(e *entry) {
+	l, o := e.log, s.origins[e.log.origin]
+	s.entries--
+	s.bytes -= e.size()
+	if o.newest[e.key] == e {
+		delete(o.newest, e.key)
+	}
+	e.gone, e.key, e.payload = true, "", nil
+	l.live--
+	for len(l.entries) > 0 && l.entries[0].gone {
+		l.entries[0] = nil
+		l.entries = l.entries[1:]
+	}
+	for k := len(l.entries); k > 0 && l.entries[k-1].gone; k-- {
+		l.entries[k-1] = nil
+		l.entries = l.entries[:k-1]
+	}
+	isGone := func(e *entry) bool { return e.gone }
+	if len(l.entries) > 2*l.live+sparse {
+		l.entries = slices.DeleteFunc(l.entries, isGone)
+	}
+	if len(s.expiry) > 2*s.entries+sparse {
+		s.expiry = slices.DeleteFunc(s.expiry, isGone)
+		heap.Init(&s.expiry)
+	}
+}
+
+// last is the number of the last entry; 0: there is none.
+func (l *epochLog) last() uint64 {
+	if len(l.entries) == 0 {
+		return 0
+	}
+	return l.entries[len(l.entries)-1].number
+}
+
+// note is an entry as it is sent to somebody who has all up to prev.
+func (l *epochLog) note(now time.Duration, e *entry, prev uint64) Note {
+	return Note{Origin: l.origin, Epoch: l.epoch, Number: e.number, Prev: prev, Short: l.short(prev, e.number), Key: e.key,
+		Life: e.life, Age: max(0, e.life-(e.until-now)), Payload: e.payload}
+}
+
+// short is the floor where a reader comes past it between two numbers.
+func (l *epochLog) short(prev, number uint64) uint64 {
+	if prev < l.floor && l.floor <= number {
+		return l.floor
+	}
+	return 0
+}
+
+// after appends what follows a position, of so many bytes together, and tells the bytes left and the position then. If first
+// holds, one note goes however few bytes are left. Where nothing that lives is left at the end, a note without life tells
+// how far the log goes. A position ahead of the log stays as it is.
+func (l *epochLog) after(now time.Duration, at uint64, room int, first bool, list []Note) ([]Note, int, uint64) {
+	if at >= l.head {
+		return list, room, at
+	}
+	i, _ := slices.BinarySearchFunc(l.entries, at+1, func(e *entry, number uint64) int { return cmp.Compare(e.number, number) })
+	fits := func(n *Note) bool {
+		if n.size() > room && !first || len(list) >= MostNotes {
+			return false
+		}
+		room, first = room-n.size(), false
+		return true
+	}
+	for _, e := range l.entries[i:] {
+		if e.gone || e.until <= now {
+			continue
+		}
+		n := l.note(now, e, at)
+		if !fits(&n) {
+			return list, 0, at
+		}
+		list, at = append(list, n), e.number
+	}
+	if at < l.head {
+		n := Note{Origin: l.origin, Epoch: l.epoch, Number: l.head, Prev: at, Short: l.short(at, l.head)}
+		if !fits(&n) {
+			return list, 0, at
+		}
+		list, at = append(list, n), l.head
+	}
+	return list, max(0, room), at
+}
+
+// expiry is a heap of entries, the next to expire first.
+type expiry []*entry
+
+func (x expiry) Len() int           { return len(x) }
+func (x expiry) Less(i, j int) bool { return x[i].until < x[j].until }
+func (x expiry) Swap(i, j int)      { x[i], x[j] = x[j], x[i] }
+func (x *expiry) Push(e any)        { *x = append(*x, e.(*entry)) }
+func (x *expiry) Pop() any {
+	old := *x
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*x = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/stream/note.go
@@ -0,0 +1,178 @@
+// Package stream carries notes from control machines to all others and to directors: each control machine publishes numbered
+// notes, what has not been superseded or expired is kept by all of them, and each director reads it from any one of them,
+// from the position it is at. It does no I/O, starts no goroutine and reads no clock: messages and times come in, messages
+// and notes go out.
+//
+// A note is numbered by its origin, the control machine that published it, within an epoch, one life of the origin. A newer
+// note of the same origin and key supersedes an older one, and after its life a note says nothing; so what is kept is a
+// compacted log, which serves those that follow closely and those that begin with nothing alike. Each note that is sent
+// carries Prev, the position from which it may be taken: the sender knows of nothing worth telling between the two. Who is
+// further back has a gap, takes nothing, and asks again from where it is. So within an origin and epoch notes are taken in
+// order, none twice, and none is missed but those that were superseded, expired, or are marked as lost (Note.Short).
+//
+// Nothing is kept over a restart of a control machine: it begins a new epoch with an empty log and asks the others. What it
+// had published last and none had received is lost with it.
+package stream
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Bounds of what is carried.
+const (
+	MostPayload   = 64 << 10 // bytes of a note's payload
+	MostKey       = 128      // bytes
+	MostName      = 64       // bytes of an origin's name
+	MostOrigins   = 32
+	MostLife      = 1000 * time.Hour
+	MostPositions = MostOrigins * readerEpochs // of a vector
+	MostNotes     = 4096                       // in one message
+
+	logEpochs    = 16 // of an origin that a log keeps
+	readerEpochs = 64 // of an origin that a reader knows its position in: more, so that what a log still has is known
+)
+
+// Position is how far one origin's notes were read within one epoch: up to Number, with all before.
+type Position struct {
+	Origin string `json:"origin"`
+	Epoch  uint64 `json:"epoch"`
+	Number uint64 `json:"number"`
+}
+
+// Vector is positions sorted by origin, then epoch; MostPositions at most.
+type Vector []Position
+
+func order(a, b Position) int {
+	return cmp.Or(cmp.Compare(a.Origin, b.Origin), cmp.Compare(a.Epoch, b.Epoch))
+}
+
+// At is the position within one epoch; 0: none.
+func (v Vector) At(origin string, epoch uint64) uint64 {
+	if i, ok := slices.BinarySearchFunc(v, Position{origin, epoch, 0}, order); ok {
+		return v[i].Number
+	}
+	return 0
+}
+
+// Note is what an origin publishes. One without life (Age not below Life) tells nothing but its number: all in (Prev, Number]
+// was superseded or has expired.
+type Note struct {
+	Origin  string
+	Epoch   uint64
+	Number  uint64        // 1, 2, ... within the epoch
+	Prev    uint64        // all in (Prev, Number) were superseded or have expired at the sender
+	Short   uint64        // but some up to this number, in (Prev, Number], were evicted and are lost; 0: none
+	Key     string        // a newer note of the same origin and key supersedes this one
+	Life    time.Duration // from when it was published
+	Age     time.Duration // spent of it when sent: held by one after the other, without the time on the way
+	Payload []byte
+}
+
+// expired tells whether a note's life is over as it comes.
+func (n *Note) expired() bool { return n.Age >= n.Life }
+
+// fits tells whether a note is one that an origin can have published.
+func (n *Note) fits() bool {
+	return n.Epoch > 0 && n.Prev < n.Number && (n.Short == 0 || n.Prev < n.Short && n.Short <= n.Number) &&
+		len(n.Key) <= MostKey && len(n.Payload) <= MostPayload && n.Age >= 0 && n.Life >= 0 && n.Life <= MostLife
+}
+
+// size is what a note is counted as where bytes are bounded: no less than it is encoded in.
+func (n *Note) size() int { return len(n.Origin) + len(n.Key) + len(n.Payload) + noteHead }
+
+const noteHead = 1 + 2 + 4*9 + 2 + 2*9 + 5 // bytes of the rest, at most
+
+// Kind of a message.
+type Kind uint8
+
+const (
+	Have Kind = iota // this is how far I am
+	Want             // send me what follows these positions
+	Tell             // notes. With a vector: the end of an answer, and how far I am
+)
+
+// Message from one control machine to another.
+type Message struct {
+	Kind     Kind
+	From, To string
+	Vector   Vector
+	Notes    []Note
+}
+
+// Config of one control machine's node.
+type Config struct {
+	Me          string
+	Origins     []string      // names of all control machines, Me among them
+	Epoch       uint64        // of this life; above those of all lives before
+	Beat        time.Duration // between comparisons of positions; 0: 500 ms
+	MostEntries int           // kept; 0: 65,536
+	MostBytes   int           // of them, each counted with some hundred bytes more than its key and payload; 0: 16 MB
+}
+
+// Defaults of a configuration.
+const (
+	defaultBeat    = 500 * time.Millisecond
+	defaultEntries = 65536
+	defaultBytes   = 16 << 20
+	leastBytes     = MostPayload + MostKey + entryHead
+)
+
+// withDefaults has what is zero filled in.
+func (c Config) withDefaults() Config {
+	c.Beat, c.MostEntries, c.MostBytes = cmp.Or(c.Beat, defaultBeat), cmp.Or(c.MostEntries, defaultEntries), cmp.Or(c.MostBytes, defaultBytes)
+	return c
+}
+
+// Check tells what is wrong with a configuration.
+func (c *Config) Check() error {
+	d := c.withDefaults()
+	switch {
+	case !slices.Contains(c.Origins, c.Me):
+		return fmt.Errorf("control machine %q is not among all control machines %v", c.Me, c.Origins)
+	case c.Epoch == 0:
+		return fmt.Errorf("an epoch of 0: above that is expected")
+	case d.Beat < 0:
+		return fmt.Errorf("a beat of %v: above 0 is expected", d.Beat)
+	case d.MostEntries < 1 || d.MostBytes < leastBytes:
+		return fmt.Errorf("%d notes of %d bytes at most: 1 and %d at least are expected", d.MostEntries, d.MostBytes, leastBytes)
+	}
+	return checkOrigins(c.Origins)
+}
+
+func checkOrigins(list []string) error {
+	if len(list) > MostOrigins {
+		return fmt.Errorf("%d control machines: %d at most are expected", len(list), MostOrigins)
+	}
+	seen := map[string]bool{}
+	for _, name := range list {
+		switch {
+		case seen[name]:
+			return fmt.Errorf("two control machines are named %q", name)
+		case name == "" || len(name) > MostName:
+			return fmt.Errorf("a control machine named %q: 1 to %d bytes are expected", name, MostName)
+		}
+		seen[name] = true
+	}
+	return nil
+}
+
+// Counts of what a node met since its start.
+type Counts struct {
+	Published  int `json:"published"`
+	Taken      int `json:"taken"`      // notes of others
+	Doubled    int `json:"doubled"`    // notes that had come before
+	Gaps       int `json:"gaps"`       // notes from further ahead than could be taken
+	Expired    int `json:"expired"`    // notes that came too late, or bare numbers of such
+	Superseded int `json:"superseded"` // notes of an older epoch that came after a newer one of their key
+	Evicted    int `json:"evicted"`    // notes that had to make room while they lived
+	Ahead      int `json:"ahead"`      // positions asked for that are ahead of the log
+	Strange    int `json:"strange"`    // notes, positions and messages of unknown origin or of no shape that one can have
+	Old        int `json:"old"`        // notes of epochs too far back
+	Short      int `json:"short"`      // times that notes are known to be lost for good
+	Asked      int `json:"asked"`      // messages that asked for notes
+	Entries    int `json:"entries"`    // kept now
+	Bytes      int `json:"bytes"`      // of them
+}
--- /dev/null
+++ b/stream/reader.go
@@ -0,0 +1,184 @@
+package stream
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Verdict on a note that came.
+type Verdict uint8
+
+const (
+	Taken   Verdict = iota
+	Doubled         // its number lies behind the position
+	Gap             // something between the position and it is missing: ask again from the position
+	Expired         // the position moves; there is nothing to hand up
+	Strange         // of an unknown origin, or no note that one can have published
+	Old             // of an epoch too far back: it may have been taken
+)
+
+func (v Verdict) String() string {
+	if int(v) < len(verdicts) {
+		return verdicts[v]
+	}
+	return "unknown"
+}
+
+var verdicts = [...]string{"taken", "doubled", "gap", "expired", "strange", "old"}
+
+// ReaderCounts of what a reader met since its start.
+type ReaderCounts struct {
+	Taken   int `json:"taken"`
+	Doubled int `json:"doubled"`
+	Gaps    int `json:"gaps"`
+	Expired int `json:"expired"`
+	Strange int `json:"strange"`
+	Old     int `json:"old"`
+	Short   int `json:"short"` // times that notes were found to be lost for good
+}
+
+// Reader follows the notes of all origins. What it takes is in order within an origin and epoch, and nothing twice.
+type Reader struct {
+	listed map[string]bool
+	ledger ledger
+	counts ReaderCounts
+}
+
+// NewReader is a reader that has read nothing, of these origins.
+func NewReader(origins []string) *Reader {
+	r := &Reader{ledger: ledger{}}
+	r.List(origins)
+	return r
+}
+
+// List has the reader follow these origins from now on, MostOrigins at most. How far it is with others it remembers while
+// there is room, should they come back.
+func (r *Reader) List(origins []string) {
+	r.listed = map[string]bool{}
+	for _, name := range origins[:min(len(origins), MostOrigins)] {
+		r.listed[name] = true
+	}
+	var gone []string
+	for name := range r.ledger {
+		if !r.listed[name] {
+			gone = append(gone, name)
+		}
+	}
+	slices.Sort(gone)
+	for _, name := range gone[:max(0, min(len(gone), len(gone)+len(r.listed)-MostOrigins))] {
+		delete(r.ledger, name)
+	}
+}
+
+// Take takes a note, or tells why not. Only a note that is Taken is to be handed up.
+func (r *Reader) Take(n *Note) Verdict {
+	v := r.take(n)
+	switch v {
+	case Taken:
+		r.counts.Taken++
+	case Doubled:
+		r.counts.Doubled++
+	case Gap:
+		r.counts.Gaps++
+	case Expired:
+		r.counts.Expired++
+	case Strange:
+		r.counts.Strange++
+	case Old:
+		r.counts.Old++
+	}
+	return v
+}
+
+func (r *Reader) take(n *Note) Verdict {
+	if !r.listed[n.Origin] || !n.fits() {
+		return Strange
+	}
+	at, ok := r.ledger.at(n.Origin, n.Epoch)
+	switch {
+	case !ok:
+		return Old
+	case n.Number <= at:
+		return Doubled
+	case n.Prev > at && !gapIsRead:
+		return Gap
+	}
+	r.ledger.set(n.Origin, n.Epoch, n.Number)
+	if n.Short > at {
+		r.counts.Short++
+	}
+	if n.expired() {
+		return Expired
+	}
+	return Taken
+}
+
+// Vector is how far the reader is, of the origins on its list.
+func (r *Reader) Vector() Vector {
+	return r.ledger.vector(func(name string) bool { return r.listed[name] })
+}
+
+// Counts since the start.
+func (r *Reader) Counts() ReaderCounts { return r.counts }
+
+// ledger is the position within each epoch of each origin, of which the newest readerEpochs are known. A position that is
+// forgotten raises the floor under all that is known, so that nothing of that epoch counts as new again.
+type ledger map[string]*epochs
+
+type epochs struct {
+	floor uint64 // epochs below are too far back
+	list  []epochAt
+}
+
+type epochAt struct{ epoch, number uint64 }
+
+func (e *epochs) find(epoch uint64) (int, bool) {
+	return slices.BinarySearchFunc(e.list, epoch, func(a epochAt, epoch uint64) int { return cmp.Compare(a.epoch, epoch) })
+}
+
+// at is the position within an epoch, 0 where nothing was read. Not ok: the epoch is too far back.
+func (l ledger) at(origin string, epoch uint64) (number uint64, ok bool) {
+	e := l[origin]
+	if e == nil {
+		return 0, true
+	}
+	i, known := e.find(epoch)
+	switch {
+	case known:
+		return e.list[i].number, true
+	case epoch < e.floor, len(e.list) >= readerEpochs && i == 0:
+		return 0, false
+	}
+	return 0, true
+}
+
+// set moves the position within an epoch that is not too far back.
+func (l ledger) set(origin string, epoch, number uint64) {
+	e := l[origin]
+	if e == nil {
+		e = &epochs{}
+		l[origin] = e
+	}
+	i, known := e.find(epoch)
+	if known {
+		e.list[i].number = number
+		return
+	}
+	if e.list = slices.Insert(e.list, i, epochAt{epoch, number}); len(e.list) > readerEpochs {
+		e.floor = e.list[0].epoch + 1
+		e.list = slices.Delete(e.list, 0, 1)
+	}
+}
+
+// vector is what is known of some origins.
+func (l ledger) vector(of func(string) bool) (v Vector) {
+	for name, e := range l {
+		if of(name) {
+			for _, x := range e.list {
+				v = append(v, Position{name, x.epoch, x.number})
+			}
+		}
+	}
+	slices.SortFunc(v, order)
+	return v
+}
