Links of directors to two control machines: choice, uplinks, subscribers

Cause: a mesh of all directors costs each of them as much as there are others. The mesh is as it was.

--- a/peer/bus.go
+++ b/peer/bus.go
@@ -63,6 +63,13 @@
 	Heard map[string]func(from From, payload []byte)
 	// Answers are what anybody may ask.
 	Answers Answers
+
+	Subscribers    []string  // names that may subscribe, and are no peers
+	Publisher      Publisher // what they are told; nil: nobody may subscribe
+	SubscriberRate int       // bytes a second that each of them is written, with a burst of four seconds' worth; 0: no bound
+	// AcceptRate is how many connections a second are accepted, with a burst of a quarter of a second's worth; the kernel's
+	// backlog holds the rest, so that a herd costs bounded processor time. 0: no bound.
+	AcceptRate float64
 }
 
 // Bus is one instance's end of the talk.
@@ -73,6 +80,8 @@
 	all  sync.WaitGroup
 
 	incarnation atomic.Uint64
+	pongs       atomic.Int64 // bytes
+	subs        subscribers
 
 	mu     sync.Mutex
 	links  map[string]*link
@@ -80,6 +89,7 @@
 	in     map[string][]*inbound
 	greets []*inbound // strangers, oldest first
 	counts Counts
+	loud   limit // of log lines about names that are refused
 }
 
 // Counts of what a bus refused and lost since its start.
@@ -106,13 +116,18 @@
 		return nil, err
 	}
 	b := &Bus{o: o, l: l, stop: make(chan struct{}), links: map[string]*link{}, known: map[string]uint64{}, in: map[string][]*inbound{}}
-	// Later lives count higher, as far as the wall clock goes on; where it went back, the others say so in the hello.
-	b.incarnation.Store(uint64(time.Now().UnixMilli())<<16 | uint64(os.Getpid()&0xffff))
+	b.incarnation.Store(born())
+	b.subs.b = b
+	b.Allow(o.Subscribers)
 	b.List(o.Peers)
 	b.all.Go(b.accept)
 	return b, nil
 }
 
+// born is the incarnation of a life that begins now. Later lives count higher, as far as the wall clock goes on; where it
+// went back, the others say so in the hello.
+func born() uint64 { return uint64(time.Now().UnixMilli())<<16 | uint64(os.Getpid()&0xffff) }
+
 // Addr is where it listens.
 func (b *Bus) Addr() string { return b.l.Addr().String() }
 
@@ -130,6 +145,7 @@
 	for _, k := range b.links {
 		k.end()
 	}
+	b.subs.end(closing, func(*Subscriber) bool { return true })
 	b.mu.Unlock()
 	b.all.Wait()
 }
@@ -159,6 +175,7 @@
 			}
 		}
 	}
+	b.subs.end(removed, func(s *Subscriber) bool { _, peer := peers[s.Name]; return peer })
 	for name, addr := range peers {
 		if b.links[name] == nil && name != b.o.Me {
 			k := &link{b: b, name: name, addr: addr, wake: make(chan struct{}, 1), over: make(chan struct{})}
@@ -192,17 +209,20 @@
 
 // Status is what a bus tells of itself.
 type Status struct {
-	Name        string       `json:"name"`
-	Incarnation uint64       `json:"incarnation"`
-	Links       []LinkStatus `json:"links"`
-	Counts      Counts       `json:"refused"`
+	Name        string            `json:"name"`
+	Incarnation uint64            `json:"incarnation"`
+	Links       []LinkStatus      `json:"links"`
+	Counts      Counts            `json:"refused"`
+	Pongs       int64             `json:"pong_bytes"` // written to peers, beside the bytes of the links
+	Subscribers SubscribersStatus `json:"subscribers"`
 }
 
 // Status tells how each link is.
 func (b *Bus) Status() Status {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Status{Name: b.o.Me, Incarnation: b.Incarnation(), Counts: b.counts, Links: []LinkStatus{}}
+	s := Status{Name: b.o.Me, Incarnation: b.Incarnation(), Counts: b.counts, Links: []LinkStatus{}, Pongs: b.pongs.Load()}
+	s.Subscribers = b.subs.status()
 	for _, k := range b.links {
 		s.Links = append(s.Links, k.status(len(b.in[k.name])))
 	}
@@ -225,7 +245,15 @@
 }
 
 func (b *Bus) accept() {
+	each := bucket{rate: b.o.AcceptRate, burst: max(1, b.o.AcceptRate/4)}
 	for {
+		if wait := each.take(time.Now(), 1); wait > 0 {
+			select {
+			case <-b.stop:
+				return
+			case <-time.After(wait):
+			}
+		}
 		nc, err := b.l.Accept()
 		if err != nil {
 			select {
@@ -237,6 +265,13 @@
 		}
 		c := &inbound{b: b, nc: nc}
 		b.mu.Lock()
+		select {
+		case <-b.stop: // Close has been over the list of connections, or will not see this one there
+			b.mu.Unlock()
+			nc.Close()
+			return
+		default:
+		}
 		b.greets = append(b.greets, c)
 		if len(b.greets) > mostStrangers {
 			b.greets[0].nc.Close()
@@ -261,6 +296,8 @@
 	case f.kind == ask:
 		c.b.o.Answers.reply(c.nc, &f)
 		return
+	case c.subscribe(&f, in):
+		return
 	case !c.greet(&f):
 		return
 	}
@@ -311,12 +348,30 @@
 	}
 	b.mu.Unlock()
 	if k == nil && f.kind == hello {
-		b.o.Log.WithFields(logrus.Fields{"peer": f.name, "addr": c.nc.RemoteAddr()}).Warn("peer: a name that is not listed is refused")
+		if b.o.Publisher != nil {
+			b.subs.count(func(n *SubscribersStatus) { n.Refused++ })
+		}
+		b.refuse(f.name, c.nc.RemoteAddr())
 	}
-	back := frame{kind: hello, version: version, name: b.o.Me, from: b.Incarnation(), to: max(known, c.from.Incarnation)}
+	return c.answer(b.Incarnation(), max(known, c.from.Incarnation)) && ok
+}
+
+// answer says this instance's own hello, with the highest incarnation known of the other side.
+func (c *inbound) answer(me, known uint64) bool {
+	back := frame{kind: hello, version: version, name: c.b.o.Me, from: me, to: known}
 	c.nc.SetWriteDeadline(time.Now().Add(greetWithin))
 	_, err := c.nc.Write(back.append(nil))
-	return ok && err == nil
+	return err == nil
+}
+
+// refuse logs a name that is not listed, one line a second at most: whoever dials on and on must not fill the log.
+func (b *Bus) refuse(name string, addr net.Addr) {
+	b.mu.Lock()
+	skipped, ok := b.loud.pass(time.Now())
+	b.mu.Unlock()
+	if ok {
+		b.o.Log.WithFields(logrus.Fields{"peer": name, "addr": addr, "skipped": skipped}).Warn("peer: a name that is not listed is refused")
+	}
 }
 
 // take handles one frame of a peer that said who it is. False: the connection is of no more use.
@@ -326,7 +381,8 @@
 	case ping:
 		back := frame{kind: pong, number: f.number}
 		c.nc.SetWriteDeadline(time.Now().Add(silentFor))
-		_, err := c.nc.Write(back.append(nil))
+		n, err := c.nc.Write(back.append(nil))
+		b.pongs.Add(int64(n))
 		return err == nil
 	case data:
 		b.mu.Lock()
@@ -359,15 +415,17 @@
 	}
 }
 
-// pace holds back a peer that sends more than its part, by reading no further.
+// pace holds back one that sends more than its part, by reading no further. The part is that of a peer, but where it says
+// otherwise.
 type pace struct {
-	at    time.Time
-	spent float64 // seconds of the peer's part
+	at            time.Time
+	spent         float64 // seconds of the part
+	frames, bytes float64 // a second; 0: a peer's
 }
 
 func (p *pace) wait(bytes int, stop <-chan struct{}) {
 	now := time.Now()
-	p.spent = max(0, p.spent-now.Sub(p.at).Seconds()) + max(1.0/mostRate, float64(bytes)/mostBytesRate)
+	p.spent = max(0, p.spent-now.Sub(p.at).Seconds()) + max(1/cmp.Or(p.frames, mostRate), float64(bytes)/cmp.Or(p.bytes, mostBytesRate))
 	p.at = now
 	if p.spent > 1 { // a second's part may come at once
 		select {
@@ -380,18 +438,71 @@
 // raised takes word that a life of this instance is known that counts higher than the present one: the wall clock
 // went back, or two processes bear one name.
 func (b *Bus) raised(known uint64) {
+	if raise(&b.incarnation, known, b.o.Log) {
+		b.count(func(c *Counts) { c.TwoOfMe++ })
+	}
+}
+
+// raise lifts an incarnation above one that is known. It tells whether it had to.
+func raise(incarnation *atomic.Uint64, known uint64, log *logrus.Entry) bool {
 	for {
-		mine := b.incarnation.Load()
+		mine := incarnation.Load()
 		if known <= mine {
-			return
+			return false
 		}
-		if b.incarnation.CompareAndSwap(mine, known+1) {
-			b.count(func(c *Counts) { c.TwoOfMe++ })
-			b.o.Log.WithField("known", fmt.Sprintf("%x", known)).Warn("peer: a later life of this instance is known; the clock went back, or two bear this name")
-			return
+		if incarnation.CompareAndSwap(mine, known+1) {
+			log.WithField("known", fmt.Sprintf("%x", known)).Warn("peer: a later life of this instance is known; the clock went back, or two bear this name")
+			return true
 		}
 	}
 }
 
+// bucket is a token bucket that may run into debt by one taking, so that what is larger than the burst can pass as well.
+type bucket struct {
+	rate, burst float64 // a second, and at most saved; no bound where the rate is 0
+	left        float64
+	at          time.Time
+}
+
+// ready is how long nothing may be taken yet.
+func (k *bucket) ready(now time.Time) time.Duration {
+	if k.rate <= 0 {
+		return 0
+	}
+	if k.at.IsZero() {
+		k.left = k.burst
+	} else {
+		k.left = min(k.burst, k.left+now.Sub(k.at).Seconds()*k.rate)
+	}
+	k.at = now
+	if k.left > 0 {
+		return 0
+	}
+	return max(time.Millisecond, time.Duration(-k.left/k.rate*float64(time.Second)))
+}
+
+// take takes some, and tells how long to wait first.
+func (k *bucket) take(now time.Time, n float64) time.Duration {
+	wait := k.ready(now)
+	k.left -= n
+	return wait
+}
+
+// limit passes one line a second and counts those it does not pass.
+type limit struct {
+	at      time.Time
+	skipped int
+}
+
+// pass tells whether a line may be written, and how many were not since the last one.
+func (l *limit) pass(now time.Time) (skipped int, ok bool) {
+	if !l.at.IsZero() && now.Sub(l.at) < time.Second {
+		l.skipped++
+		return 0, false
+	}
+	skipped, l.at, l.skipped = l.skipped, now, 0
+	return skipped, true
+}
+
 // part is a span less a part of it by chance, so that not all dial at once.
 func part(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- /dev/null
+++ b/peer/uplink.go
@@ -0,0 +1,482 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"indigochute.example/indigochute/stream"
+)
+
+// Times of an uplink.
+const (
+	uplinkLost  = time.Second            // without a frame: the link is lost
+	uplinkPing  = time.Second            // from one ping to the next
+	againAtMost = 200 * time.Millisecond // from one greeting to the next on one link
+)
+
+// Machine is a control machine and where it listens.
+type Machine struct {
+	stream.Machine
+	Addr string
+}
+
+// UplinkOptions are those of a director's links to control machines.
+type UplinkOptions struct {
+	Me      string
+	At      stream.Place
+	Control []Machine
+	Spread  time.Duration // the first dials and those after losses come within it, by chance
+	Seed    uint64
+	Log     *logrus.Entry
+	// Greeting is what is told on the link that becomes the active one, and again after Again; a nil payload is not sent.
+	// It is called by any goroutine, also while Heard runs, and must not block for long.
+	Greeting func() (topic string, payload []byte)
+	// Heard takes messages of the active link, one at a time. It must not block for long, nor call Close.
+	Heard func(topic string, payload []byte)
+}
+
+// Uplinks are a director's links to two control machines, of which it subscribes at one.
+type Uplinks struct {
+	o      UplinkOptions
+	life   atomic.Uint64
+	start  time.Time
+	poke   chan struct{}
+	stop   chan struct{}
+	all    sync.WaitGroup
+	active atomic.Pointer[uplink]
+	hear   sync.Mutex // held while Heard runs
+
+	received, written         atomic.Int64
+	heard, greeted, early, no atomic.Int64
+
+	mu     sync.Mutex // taken before that of a link
+	choice *stream.Choice
+	addrs  map[string]string
+	links  map[string]*uplink
+	closed bool
+	loud   limit
+}
+
+// UplinkLink is what is told of one control machine.
+type UplinkLink struct {
+	Name  string  `json:"name"`
+	State string  `json:"state"` // idle, passed over, dialling, up, active
+	Dials int     `json:"dials"`
+	RTT   float64 `json:"rtt_ms"` // of the last ping; 0: not known
+}
+
+// UplinkStatus is what is told of all uplinks; numbers are since the start.
+type UplinkStatus struct {
+	Active   string              `json:"active"`
+	Up       int                 `json:"up"`
+	Links    []UplinkLink        `json:"links"`      // every control machine, the most preferred first
+	Without  time.Duration       `json:"without_ns"` // since no link is up; 0: one is
+	Received int64               `json:"received"`   // bytes, payload and frame, without the headers of TCP
+	Written  int64               `json:"written"`
+	Heard    int64               `json:"heard"`    // messages handed up
+	Passive  int64               `json:"passive"`  // messages that came on a link that was not the active one, and were left
+	Greeted  int64               `json:"greeted"`  // greetings written
+	Oversize int64               `json:"oversize"` // greetings that were too long
+	Choice   stream.ChoiceCounts `json:"choice"`
+}
+
+// uplink is one connection, or the dial of one. A goroutine dials and writes, another reads.
+type uplink struct {
+	u      *Uplinks
+	name   string
+	addr   string
+	ctx    context.Context // done: the link has ended
+	cancel context.CancelFunc
+	wake   chan struct{}
+	greet  atomic.Bool // a greeting is due
+	rtt    atomic.Int64
+
+	mu sync.Mutex
+	nc net.Conn
+
+	me, to uint64 // incarnations of both ends, since the hello
+}
+
+// OpenUplinks begins to dial, within the spread.
+func OpenUplinks(o UplinkOptions) *Uplinks {
+	if o.Log == nil {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		o.Log = logrus.NewEntry(log)
+	}
+	u := &Uplinks{o: o, start: time.Now(), poke: make(chan struct{}, 1), stop: make(chan struct{}), links: map[string]*uplink{}}
+	u.life.Store(born())
+	machines, addrs := split(o.Control)
+	u.addrs = addrs
+	u.choice = stream.NewChoice(stream.ChoiceConfig{Me: o.Me, At: o.At, Seed: o.Seed, Spread: o.Spread}, machines, u.now())
+	u.all.Go(u.run)
+	return u
+}
+
+func split(control []Machine) (all []stream.Machine, addrs map[string]string) {
+	addrs = map[string]string{}
+	for _, m := range control {
+		if _, twice := addrs[m.Name]; !twice {
+			all = append(all, m.Machine)
+			addrs[m.Name] = m.Addr
+		}
+	}
+	return all, addrs
+}
+
+// now is the time as the choice counts it.
+func (u *Uplinks) now() time.Duration { return time.Since(u.start) }
+
+// List says anew which control machines there are. Links to those that stay at their address are not touched.
+func (u *Uplinks) List(control []Machine) {
+	machines, addrs := split(control)
+	u.change(func(now time.Duration) []stream.Act {
+		var stay []stream.Machine // first without those whose address is another, for them to be dialled anew
+		for _, m := range machines {
+			if u.addrs[m.Name] == addrs[m.Name] {
+				stay = append(stay, m)
+			}
+		}
+		var acts []stream.Act
+		if len(stay) < len(machines) {
+			acts = u.choice.List(now, stay)
+		}
+		u.addrs = addrs
+		return append(acts, u.choice.List(now, machines)...)
+	})
+}
+
+// Again has the greeting told again on the active link. Calls within 200 ms of a greeting are merged into one.
+func (u *Uplinks) Again() {
+	if l := u.active.Load(); l != nil {
+		l.again()
+	}
+}
+
+// Close ends every link and waits for the goroutines.
+func (u *Uplinks) Close() {
+	u.mu.Lock()
+	if !u.closed {
+		u.closed = true
+		close(u.stop)
+		for _, l := range u.links {
+			l.end()
+		}
+	}
+	u.mu.Unlock()
+	u.all.Wait()
+}
+
+// Status tells how the links are.
+func (u *Uplinks) Status() UplinkStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.now()
+	s := UplinkStatus{Active: u.choice.Active(), Without: u.choice.Without(now), Received: u.received.Load(), Written: u.written.Load(),
+		Heard: u.heard.Load(), Passive: u.early.Load(), Greeted: u.greeted.Load(), Oversize: u.no.Load(), Choice: u.choice.Counts(),
+		Links: []UplinkLink{}}
+	links := u.choice.Links()
+	for _, name := range u.choice.Names() {
+		k := UplinkLink{Name: name, State: "idle", Dials: u.choice.Dials(name)}
+		switch state := links[name]; {
+		case state == stream.Linked:
+			s.Up++
+			k.State = "up"
+			if name == s.Active {
+				k.State = "active"
+			}
+		case state == stream.Dialling:
+			k.State = "dialling"
+		case u.choice.Passed(now, name):
+			k.State = "passed over"
+		}
+		if l := u.links[name]; l != nil {
+			k.RTT = float64(l.rtt.Load()/int64(time.Microsecond)) / 1000
+		}
+		s.Links = append(s.Links, k)
+	}
+	return s
+}
+
+// run tells the choice that time went on.
+func (u *Uplinks) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-u.stop:
+			return
+		case <-u.poke:
+		case <-timer.C:
+		}
+		u.change(u.choice.Tick)
+		u.mu.Lock()
+		select {
+		case <-u.poke: // by this Tick, or by a change that Next sees
+		default:
+		}
+		now := u.now()
+		next := u.choice.Next(now)
+		u.mu.Unlock()
+		timer.Reset(next - now)
+	}
+}
+
+// change gives the choice an input, and does what it wants done.
+func (u *Uplinks) change(input func(now time.Duration) []stream.Act) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		return
+	}
+	for _, a := range input(u.now()) {
+		l := u.links[a.Name]
+		switch a.Do {
+		case stream.Dial:
+			l = &uplink{u: u, name: a.Name, addr: u.addrs[a.Name], wake: make(chan struct{}, 1)}
+			l.ctx, l.cancel = context.WithCancel(context.Background())
+			u.links[a.Name] = l
+			u.all.Go(l.run)
+		case stream.Drop:
+			delete(u.links, a.Name)
+			l.end()
+		case stream.Activate:
+			u.active.Store(l)
+			l.again()
+			u.o.Log.WithField("control", a.Name).Info("uplink: subscribing here")
+		}
+	}
+	if u.choice.Active() == "" {
+		u.active.Store(nil)
+	}
+	select {
+	case u.poke <- struct{}{}:
+	default:
+	}
+}
+
+// failed and lost tell the choice what became of a link, unless it was dropped meanwhile.
+func (u *Uplinks) failed(l *uplink, err error) {
+	u.over(l, err, "uplink: a control machine cannot be linked", u.choice.Failed)
+}
+
+func (u *Uplinks) lost(l *uplink, err error) {
+	u.over(l, err, "uplink: lost", u.choice.Lost)
+}
+
+func (u *Uplinks) over(l *uplink, err error, what string, input func(time.Duration, string) []stream.Act) {
+	l.end()
+	u.change(func(now time.Duration) []stream.Act {
+		if u.links[l.name] != l {
+			return nil
+		}
+		delete(u.links, l.name)
+		if skipped, ok := u.loud.pass(time.Now()); ok {
+			u.o.Log.WithError(err).WithFields(logrus.Fields{"control": l.name, "addr": l.addr, "skipped": skipped}).Warn(what)
+		}
+		return input(now, l.name)
+	})
+}
+
+// end closes the connection, or gives up the dial.
+func (l *uplink) end() {
+	l.cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.nc != nil {
+		l.nc.Close()
+	}
+}
+
+// again has a greeting written.
+func (l *uplink) again() {
+	l.greet.Store(true)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+var (
+	errOther   = errors.New("uplink: somebody else listens there, or speaks another version")
+	errRefused = errors.New("uplink: refused: this director is not listed there, or is known there in a later life")
+)
+
+// run dials, says hello, and writes until the link ends.
+func (l *uplink) run() {
+	dial, cancel := context.WithTimeout(l.ctx, dialWithin)
+	nc, err := (&net.Dialer{}).DialContext(dial, "tcp", l.addr)
+	cancel()
+	if err != nil {
+		l.u.failed(l, err)
+		return
+	}
+	l.mu.Lock()
+	l.nc = nc
+	ended := l.ctx.Err() != nil
+	l.mu.Unlock()
+	if ended {
+		nc.Close()
+		return
+	}
+	in := bufio.NewReader(counted{nc, &l.u.received})
+	if err := l.hello(in); err != nil {
+		l.u.failed(l, err)
+		return
+	}
+	l.u.change(func(now time.Duration) []stream.Act {
+		if l.u.links[l.name] != l {
+			return nil
+		}
+		return l.u.choice.Up(now, l.name)
+	})
+	l.u.all.Go(func() { l.read(in) })
+	l.write()
+	l.nc.Close() // the reader sees it, and says so
+}
+
+// counted counts what is read.
+type counted struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// send writes bytes within a time.
+func (l *uplink) send(b []byte, within time.Duration) error {
+	l.nc.SetWriteDeadline(time.Now().Add(within))
+	n, err := l.nc.Write(b)
+	l.u.written.Add(int64(n))
+	return err
+}
+
+// hello says who this is and takes the control machine's answer.
+func (l *uplink) hello(in *bufio.Reader) error {
+	l.me = l.u.life.Load()
+	f := frame{kind: hello, version: version, name: l.u.o.Me, from: l.me}
+	if err := l.send(f.append(nil), greetWithin); err != nil {
+		return err
+	}
+	l.nc.SetReadDeadline(time.Now().Add(greetWithin))
+	f, err := read(in, mostHello)
+	switch {
+	case err != nil:
+		return err
+	case f.kind != hello || f.version != version || f.name != l.name:
+		return errOther
+	case f.to != l.me:
+		raise(&l.u.life, f.to, l.u.o.Log)
+		return errRefused
+	}
+	l.to = f.from
+	return nil
+}
+
+// write sends pings, and greetings that are due, until the link ends.
+func (l *uplink) write() {
+	beat, soon := time.NewTicker(uplinkPing), time.NewTimer(time.Hour)
+	defer beat.Stop()
+	defer soon.Stop()
+	var last time.Time
+	b := l.ping(nil)
+	for {
+		if wait := againAtMost - time.Since(last); !l.greet.Load() {
+		} else if wait > 0 {
+			soon.Reset(wait)
+		} else {
+			l.greet.Store(false)
+			last = time.Now()
+			b = l.greeting(b)
+		}
+		if len(b) > 0 {
+			if l.send(b, uplinkLost) != nil {
+				return
+			}
+			b = b[:0]
+		}
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.wake:
+		case <-soon.C:
+		case <-beat.C:
+			b = l.ping(b)
+		}
+	}
+}
+
+// ping appends one that carries the time, for the pong to tell how long the way is.
+func (l *uplink) ping(b []byte) []byte {
+	f := frame{kind: ping, number: uint64(max(1, l.u.now()))}
+	return f.append(b)
+}
+
+func (l *uplink) greeting(b []byte) []byte {
+	topic, payload := l.u.o.Greeting()
+	switch {
+	case payload == nil:
+		return b
+	case len(payload) > mostSubscriber-frameExtra-mostTopic:
+		l.u.no.Add(1)
+		l.u.o.Log.WithField("bytes", len(payload)).Error("uplink: a greeting that is too long is not told")
+		return b
+	}
+	l.u.greeted.Add(1)
+	f := frame{kind: data, from: l.me, to: l.to, topic: topic, payload: payload}
+	return f.append(b)
+}
+
+var errOldLife = errors.New("uplink: a message from or to another life")
+
+// read takes what the control machine says until the link breaks or is silent for too long.
+func (l *uplink) read(in *bufio.Reader) {
+	pace := pace{at: time.Now()}
+	for {
+		l.nc.SetReadDeadline(time.Now().Add(uplinkLost))
+		f, err := read(in, mostFrame)
+		switch {
+		case err != nil:
+		case f.kind == pong:
+			if rtt := int64(l.u.now()) - int64(f.number); rtt >= 0 {
+				l.rtt.Store(rtt)
+			}
+		case f.kind == ping:
+		case f.kind != data:
+			err = errFrame
+		case f.from != l.to || f.to != l.me:
+			err = errOldLife
+		default:
+			l.hear(&f)
+		}
+		if err != nil {
+			l.u.lost(l, err)
+			return
+		}
+		pace.wait(frameExtra+len(f.payload), l.ctx.Done())
+	}
+}
+
+// hear hands a message up if this is the active link. Whoever was active before may still be at its last one.
+func (l *uplink) hear(f *frame) {
+	l.u.hear.Lock()
+	defer l.u.hear.Unlock()
+	if l.u.active.Load() != l {
+		l.u.early.Add(1)
+		return
+	}
+	l.u.heard.Add(1)
+	l.u.o.Heard(f.topic, f.payload)
+}
