Operator file: control machines, directors that follow them, uplinks, notes

Cause: every director dials every other, which does not go on to hundreds of them. The file must say which few machines share the duties and which directors follow those. Change: keys control, directors, uplink and the duty kind note, strict; roles, places and names by them. A zone belongs to one region and a site to one zone. Lasting takes the name of the machine that asks, as its role counts.

--- a/crew/crew.go
+++ b/crew/crew.go
@@ -90,7 +90,7 @@
 // Reload takes another operator file. What holds from the start on must be as it was, or nothing is taken.
 func (c *Crew) Reload(f *operator.File) error {
 	c.mu.Lock()
-	if differ := f.Lasting(c.f); len(differ) > 0 {
+	if differ := f.Lasting(c.f, c.me); len(differ) > 0 {
 		c.mu.Unlock()
 		return fmt.Errorf("%s: another value takes effect at a start only; nothing of the file was taken", strings.Join(differ, ", "))
 	}
--- /dev/null
+++ b/operator/control_test.go
@@ -0,0 +1,225 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/stream"
+)
+
+const small = `control:
+  - {name: c1, address: 10.0.1.1:7400, region: south, zone: s1, site: s1a}
+  - {name: c0, address: 10.0.0.1:7400, region: north, zone: n1, site: n1a}
+  - {name: c2, address: 10.0.0.2:7400, region: north, zone: n2, site: n2a}
+directors:
+  - {name: d1, region: south, zone: s1, site: s1a}
+  - {name: d0, address: 10.0.0.9:7400, region: north, zone: n1, site: n1b}
+uplink: {rate: 20KB/s, spread: 1s}
+duties:
+  - {name: look, kind: probe, period: 1s}
+  - {name: tell, kind: note, period: 1s, bytes: 60, life: 5m, keep: last}
+`
+
+func parsed(t *testing.T, text, me string) *File {
+	t.Helper()
+	f, err := Parse("control.yaml", []byte(text), me)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestControl(t *testing.T) {
+	f := parsed(t, small, "d1")
+	for name, is := range map[string]Role{"c0": ControlMachine, "d0": Director, "x": Unknown, "": Unknown} {
+		if f.Role(name) != is {
+			t.Errorf("%s is a %v", name, f.Role(name))
+		}
+	}
+	if n := f.Names(); !slices.Equal(n, []string{"c0", "c1", "c2"}) || !slices.Equal(n, f.ControlNames()) {
+		t.Errorf("%v", n)
+	}
+	if n := f.DirectorNames(); !slices.Equal(n, []string{"d0", "d1"}) {
+		t.Errorf("%v", n)
+	}
+	if o := f.Others("c0"); len(o) != 2 || o["c1"] != "10.0.1.1:7400" || o["c2"] != "10.0.0.2:7400" {
+		t.Errorf("%v", o)
+	}
+	if f.Address("c1") != "10.0.1.1:7400" || f.Address("d0") != "10.0.0.9:7400" || f.Address("d1") != "" || f.Address("x") != "" {
+		t.Error("addresses")
+	}
+	if p := f.Place("c2"); p != (stream.Place{Region: "north", Zone: "n2", Site: "n2a"}) {
+		t.Errorf("%v", p)
+	}
+	if p := f.Place("d0"); p != (stream.Place{Region: "north", Zone: "n1", Site: "n1b"}) || f.Place("x") != (stream.Place{}) {
+		t.Errorf("%v", p)
+	}
+	if f.Uplink.Rate != 20e3 || f.Uplink.Spread.D() != time.Second {
+		t.Errorf("%+v", f.Uplink)
+	}
+	if d := f.Duties[1]; d.Bytes != 60 || d.Life.D() != 5*time.Minute || d.Keep != "last" || f.Duties[0].Keep != "" {
+		t.Errorf("%+v", f.Duties)
+	}
+	f = parsed(t, strings.NewReplacer("uplink: {rate: 20KB/s, spread: 1s}\n", "", ", life: 5m, keep: last", "").Replace(small), "c0")
+	if f.Uplink.Rate != 16e3 || f.Uplink.Spread.D() != 800*time.Millisecond {
+		t.Errorf("%+v", f.Uplink)
+	}
+	if d := f.Duties[1]; d.Life.D() != 10*time.Minute || d.Keep != "each" {
+		t.Errorf("%+v", d)
+	}
+	if m := parsed(t, string(deployed(t)), "n1"); m.Role("n1") != Member || m.Role("n9") != Unknown || m.ControlNames() != nil || m.DirectorNames() != nil {
+		t.Error("a file of instances")
+	}
+}
+
+// Every fault in what the file says of control machines has its line and key.
+func TestControlFaults(t *testing.T) {
+	control, _, _ := strings.Cut(small, "directors:")
+	_, directors, _ := strings.Cut(small, "uplink:")
+	directors = strings.TrimSuffix(strings.TrimPrefix(small, control), "uplink:"+directors)
+	c := func(i int) string {
+		return fmt.Sprintf("  - {name: e%d, address: 10.1.0.%d:7400, region: east, zone: e1, site: e1a}\n", i, i)
+	}
+	long := strings.Repeat("ü", 33) // 66 bytes
+	for _, x := range []struct{ old, new, says string }{
+		{control, control + c(1), "control.yaml:1: control: found 4 machines, expected 3, 5, 7 or 9, as more than half must see each other and an even"},
+		{control, "control:\n" + c(1), "control.yaml:1: control: found 1 machines, expected 3, 5, 7 or 9"},
+		{control, control + c(1) + c(2) + c(3) + c(4) + c(5) + c(6) + c(7) + c(8), "control.yaml:1: control: found 11 machines, expected 3, 5"},
+		{control, "control: []\n", "control.yaml:1: control: found 0 machines, expected 3, 5, 7 or 9"},
+		{control, "", "control.yaml:1: directors: found directors without control machines"},
+		{control, "", "control.yaml:1: instances: found neither instances nor control"},
+		{control, "", "uplink: found uplinks without control machines"},
+		{control, "", "duties[1].kind: found a note without control machines"},
+		{control, "instances: []\n", "control.yaml:1: instances: found 0 entries, expected 1 or more"},
+		{control, "instances: [{name: n0, address: \"10.0.0.7:7400\"}]\n" + control, "control.yaml:2: control: found control machines beside instances"},
+		{directors, "", "directors: found none, expected 1 to 1024"},
+		{directors, "directors: []\n", "control.yaml:5: directors: found none, expected 1 to 1024"},
+		{"name: c2", "name: c0", "control.yaml:4: control[2].name: found «c0» a second time"},
+		{"name: d0", "name: c0", "control.yaml:7: directors[1].name: found «c0» a second time"},
+		{"name: d0", "name: d1", "control.yaml:7: directors[1].name: found «d1» a second time"},
+		{"name: d0", "name: " + long, "control.yaml:7: directors[1].name: found 66 bytes, expected 64 or less"},
+		{"name: c2, ", "", "control.yaml:4: control[2].name: found nothing, expected a value"},
+		{"address: 10.0.0.2:7400, ", "", "control.yaml:4: control[2].address: found nothing"},
+		{"10.0.0.2:7400", "10.0.0.1:7400", "control.yaml:4: control[2].address: found «10.0.0.1:7400» a second time"},
+		{"10.0.0.9:7400", "10.0.0.1:7400", "control.yaml:7: directors[1].address: found «10.0.0.1:7400» a second time"},
+		{"10.0.0.9:7400", "10.0.0.9", "control.yaml:7: directors[1].address: found «10.0.0.9», expected an address with its port"},
+		{"{name: d1, region: south,", "{name: d1,", "control.yaml:6: directors[0].region: found nothing"},
+		{", site: n2a", "", "control.yaml:4: control[2].site: found nothing"},
+		{"zone: n2", "zone: " + long, "control.yaml:4: control[2].zone: found 66 bytes"},
+		{"{name: d1, region: south,", "{name: d1, region: north,", "control.yaml:6: directors[0].region: found «north» of zone «s1», expected «south» as at control[0]"},
+		{"zone: n1, site: n1b", "zone: n1, site: n2a", "control.yaml:7: directors[1].zone: found «n1» of site «n2a», expected «n2» as at control[2]"},
+		{"rate: 20KB/s", "rate: 3999B/s", "control.yaml:8: uplink.rate: found «3.999KB/s», expected 4KB/s to 1MB/s"},
+		{"rate: 20KB/s", "rate: 1.1MB/s", "uplink.rate: found «1.1MB/s»"},
+		{"rate: 20KB/s", "rate: 20KB", "uplink.rate: found"},
+		{"spread: 1s", "spread: 99ms", "control.yaml:8: uplink.spread: found «99ms», expected 100ms to 1m0s"},
+		{"spread: 1s", "spread: 61s", "uplink.spread: found «1m1s»"},
+		{"spread: 1s", "spreed: 1s", "uplink.spreed: found an unknown key"},
+		{"bytes: 60", "bytes: 23", "control.yaml:11: duties[1].bytes: found «23», expected 24 to 60000"},
+		{"bytes: 60", "bytes: 60001", "duties[1].bytes: found «60001»"},
+		{"bytes: 60, ", "", "duties[1].bytes: found «0»"},
+		{"life: 5m", "life: 25h", "duties[1].life: found «25h0m0s», expected 24h0m0s at most"},
+		{"keep: last", "keep: some", "duties[1].keep: found «some», expected one of each last"},
+		{"keep: last", "address: 10.0.0.8:1", "duties[1].address: found «10.0.0.8:1», expected none"},
+		{"kind: probe, period: 1s", "kind: probe, period: 1s, bytes: 60", "control.yaml:10: duties[0].kind: found bytes, life or keep"},
+		{"kind: probe, period: 1s", "kind: probe, period: 1s, life: 1m", "duties[0].kind: found bytes, life or keep"},
+		{"kind: probe, period: 1s", "kind: probe, period: 1s, keep: last", "duties[0].kind: found bytes, life or keep"},
+	} {
+		bad := strings.Replace(small, x.old, x.new, 1)
+		if bad == small {
+			t.Fatalf("%q is not in the file", x.old)
+		}
+		_, err := Parse("control.yaml", []byte(bad), "")
+		if err == nil || !strings.Contains(err.Error(), x.says) || !strings.HasPrefix(err.Error(), "control.yaml:") {
+			t.Errorf("%q: %v\nwhere %q is expected", x.new, err, x.says)
+		}
+	}
+	if _, err := Parse("control.yaml", []byte(small), "d7"); err == nil || !strings.Contains(err.Error(), "5: directors: found no control machine or director «d7»") {
+		t.Errorf("an unknown director: %v", err)
+	}
+}
+
+// sized is a file of nine control machines and so many directors over 39 sites, 18 zones and 7 regions.
+func sized(directors int) string {
+	var b strings.Builder
+	place := func(site int) string {
+		zone := site % 18
+		return fmt.Sprintf("region: r%d, zone: r%dz%d, site: r%dz%ds%d", zone%7, zone%7, zone, zone%7, zone, site)
+	}
+	b.WriteString("control:\n")
+	for i := range 9 {
+		fmt.Fprintf(&b, "  - {name: c%d, address: 10.0.%d.1:7400, %s}\n", i, i, place(i))
+	}
+	b.WriteString("directors:\n")
+	for i := range directors {
+		fmt.Fprintf(&b, "  - {name: d%d, %s}\n", i, place(i%39))
+	}
+	return b.String()
+}
+
+func TestNumberOfDirectors(t *testing.T) {
+	f := parsed(t, sized(MostDirectors), "d1023")
+	if len(f.Directors) != MostDirectors || f.Role("d1023") != Director {
+		t.Errorf("%d directors", len(f.Directors))
+	}
+	if _, err := Parse("control.yaml", []byte(sized(MostDirectors+1)), ""); err == nil ||
+		!strings.Contains(err.Error(), "control.yaml:11: directors: found 1025 entries, expected 1024 or less") {
+		t.Errorf("%v", err)
+	}
+}
+
+// A running machine takes another list of directors, other addresses and other duties, and no other names, role or times.
+func TestLasting(t *testing.T) {
+	was := parsed(t, small, "")
+	for _, x := range []struct{ old, new, me, differ string }{
+		{"{name: d1,", "{name: d2,", "c0", ""},
+		{"{name: d1,", "{name: d2,", "d0", ""},
+		{"{name: d1,", "{name: d2,", "d1", "this machine's role"},
+		{"10.0.0.2:7400", "10.0.0.5:7400", "c0", ""},
+		{"10.0.0.2:7400", "10.0.0.5:7400", "d0", ""},
+		{"period: 1s", "period: 2s", "c0", ""},
+		{"{name: c2,", "{name: c3,", "c0", "the names of control machines"},
+		{"{name: c2,", "{name: c3,", "d0", "the names of control machines"},
+		{"rate: 20KB/s", "rate: 30KB/s", "c0", "uplink.rate"},
+		{"rate: 20KB/s", "rate: 30KB/s", "d0", ""},
+		{"spread: 1s", "spread: 2s", "c0", ""},
+		{"spread: 1s", "spread: 2s", "d0", "uplink.spread"},
+		{"duties:", "lease: 2s\nduties:", "c0", "lease, beat or drift"},
+		{"duties:", "lease: 2s\nduties:", "d0", ""},
+		{"duties:", "try: {clock: 1.1}\nduties:", "c0", "try"},
+	} {
+		text := strings.Replace(small, x.old, x.new, 1)
+		if text == small {
+			t.Fatalf("%q is not in the file", x.old)
+		}
+		if differ := strings.Join(parsed(t, text, "").Lasting(was, x.me), ", "); differ != x.differ {
+			t.Errorf("%q at %s: %q differ, %q are expected", x.new, x.me, differ, x.differ)
+		}
+	}
+	if d := parsed(t, string(deployed(t)), "").Lasting(was, "d0"); !slices.Contains(d, "this machine's role") || !slices.Contains(d, "the names of control machines") {
+		t.Errorf("instances in place of control machines: %q", d)
+	}
+}
+
+// Lists tells files of other names from each other, and takes no heed of order, addresses and directors.
+func TestLists(t *testing.T) {
+	lists := func(text string) string { return parsed(t, text, "").Lists() }
+	was := lists(small)
+	if len(was) != 16 {
+		t.Errorf("%q", was)
+	}
+	if other := lists(strings.Replace(small, "{name: c2,", "{name: c3,", 1)); other == was {
+		t.Error("another name makes no difference")
+	}
+	lines := strings.SplitAfter(small, "\n")
+	lines[1], lines[2] = lines[2], lines[1]
+	same := strings.NewReplacer("10.0.0.2", "10.0.0.5", "name: d1", "name: d2").Replace(strings.Join(lines, ""))
+	if same == small || lists(same) != was {
+		t.Error("order, an address or a director makes a difference")
+	}
+	if a, b := (&File{Control: []ControlEntry{{Name: "a1"}, {Name: "b"}}}), (&File{Control: []ControlEntry{{Name: "a"}, {Name: "1b"}}}); a.Lists() == b.Lists() {
+		t.Error("names run into each other")
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -1,6 +1,7 @@
 // Package operator reads what operators say of a fleet of directors that talk with each other: who they are, where they
-// listen, which duties one of them at a time is to run. The file is YAML, strict; its faults are told with file, line
-// and key. The platform's director reads none.
+// listen, which duties one of them at a time is to run; of a large fleet, which control machines share the duties and
+// which directors follow them. The file is YAML, strict; its faults are told with file, line and key. The platform's
+// director reads none.
 package operator
 
 import (
@@ -17,30 +18,36 @@
 
 // File is one description.
 type File struct {
-	Instances []Instance  `yaml:"instances" validate:"required,min=1,max=64,dive" jsonschema:"description=every director that takes part; the same list at each"`
-	Lease     fleet.Span  `yaml:"lease" jsonschema:"description=for which a keeper is followed and a duty is owned at most; default 1200ms"`
-	Beat      fleet.Span  `yaml:"beat" jsonschema:"description=between renewals; a third of the lease at most; default 250ms"`
-	Drift     fleet.Share `yaml:"drift" jsonschema:"description=by which any clock may run fast or slow; default 1%"`
-	Duties    []Duty      `yaml:"duties" validate:"max=20000,dive"`
-	Probe     Probe       `yaml:"probe"`
-	Try       Try         `yaml:"try" jsonschema:"description=for trials only"`
+	Instances []Instance      `yaml:"instances" validate:"max=64,dive" jsonschema:"description=every director that takes part; the same list at each; this or control"`
+	Control   []ControlEntry  `yaml:"control" validate:"dive" jsonschema:"minItems=3,maxItems=9,description=3\\, 5\\, 7 or 9 control machines\\, which share the duties and tell the directors; in place of instances"`
+	Directors []DirectorEntry `yaml:"directors" validate:"max=1024,dive" jsonschema:"minItems=1,maxItems=1024,description=every director that follows the control machines"`
+	Uplink    Uplink          `yaml:"uplink" jsonschema:"description=links of directors to control machines"`
+	Lease     fleet.Span      `yaml:"lease" jsonschema:"description=for which a keeper is followed and a duty is owned at most; default 1200ms"`
+	Beat      fleet.Span      `yaml:"beat" jsonschema:"description=between renewals; a third of the lease at most; default 250ms"`
+	Drift     fleet.Share     `yaml:"drift" jsonschema:"description=by which any clock may run fast or slow; default 1%"`
+	Duties    []Duty          `yaml:"duties" validate:"max=20000,dive"`
+	Probe     Probe           `yaml:"probe"`
+	Try       Try             `yaml:"try" jsonschema:"description=for trials only"`
 }
 
 // Instance is one director.
 type Instance struct {
-	Name    string `yaml:"name" validate:"required,max=64" jsonschema:"description=the director's name in its configuration"`
+	Name    string `yaml:"name" validate:"required" jsonschema:"description=the director's name in its configuration"`
 	Address string `yaml:"address" validate:"required" jsonschema:"description=where it listens for the others"`
 }
 
 // Duty is one task that one director at a time runs each period.
 type Duty struct {
 	Name    string     `yaml:"name" validate:"required,max=64"`
-	Kind    string     `yaml:"kind" validate:"oneof=probe call" jsonschema:"description=probe: ask caches and parents whether they run; call: put a question to an address"`
+	Kind    string     `yaml:"kind" validate:"oneof=probe call note" jsonschema:"description=probe: ask caches and parents whether they run; call: put a question to an address; note: for trials\\, tell all directors a note"`
 	Period  fleet.Span `yaml:"period" validate:"gt=0"`
 	Jitter  fleet.Span `yaml:"jitter" jsonschema:"description=up to so much by chance is added to each period"`
 	Timeout fleet.Span `yaml:"timeout" jsonschema:"description=of one run; no more than the period; default half of it"`
 	Missed  string     `yaml:"missed" validate:"omitempty,oneof=catch-up pass" jsonschema:"description=what becomes of a run that nobody made: catch-up makes it once somebody owns the duty\\, pass waits for the next; default catch-up"`
 	Address string     `yaml:"address" jsonschema:"description=of a call"`
+	Bytes   int        `yaml:"bytes" jsonschema:"description=of a note's payload\\, 24 to 60000"`
+	Life    fleet.Span `yaml:"life" jsonschema:"description=of a note\\, after which it says nothing; 24h at most; default 10m"`
+	Keep    string     `yaml:"keep" validate:"omitempty,oneof=each last" jsonschema:"enum=each,enum=last,description=of notes: each run's for its life\\, or the last run's alone; default each"`
 }
 
 // Probe tells how caches and parents are asked whether they run.
@@ -76,23 +83,11 @@
 }
 
 func (f *File) check(me string, fault func(key, found, expects string)) {
+	f.checkShape(fault)
 	f.defaults()
-	names, addresses := map[string]bool{}, map[string]bool{}
-	for i, x := range f.Instances {
-		at := fmt.Sprintf("instances[%d].", i)
-		if names[x.Name] {
-			fault(at+"name", "«"+x.Name+"» a second time", "another name")
-		}
-		if _, err := netip.ParseAddrPort(x.Address); err != nil {
-			fault(at+"address", "«"+x.Address+"»", "an address with its port, such as 10.0.0.1:7400")
-		} else if addresses[x.Address] {
-			fault(at+"address", "«"+x.Address+"» a second time", "another address")
-		}
-		names[x.Name], addresses[x.Address] = true, true
-	}
-	if me != "" && !names[me] {
-		fault("instances", "no instance «"+me+"»", "this director's name among them")
-	}
+	f.checkNames(me, fault)
+	f.checkPlaces(fault)
+	f.checkUplink(fault)
 	if f.Beat > f.Lease/3 {
 		fault("beat", "«"+f.Beat.String()+"»", "a third of the lease of "+f.Lease.String()+" at most")
 	}
@@ -116,6 +111,7 @@
 		case d.Kind != "call" && d.Address != "":
 			fault(at+"address", "«"+d.Address+"»", "none, as only a call has one")
 		}
+		f.checkNote(at, &d, fault)
 	}
 	if (f.Probe.Vhost == "") != (f.Probe.Object == "") {
 		fault("probe", "a vhost or an object alone", "both, or none")
@@ -130,40 +126,54 @@
 	f.Probe.Within = cmp.Or(f.Probe.Within, fleet.Span(300*time.Millisecond))
 	f.Probe.AtOnce = cmp.Or(f.Probe.AtOnce, 32)
 	f.Try.Clock = cmp.Or(f.Try.Clock, 1)
+	f.Uplink.Rate = cmp.Or(f.Uplink.Rate, defaultRate)
+	f.Uplink.Spread = cmp.Or(f.Uplink.Spread, defaultSpread)
 	for i := range f.Duties {
 		d := &f.Duties[i]
 		d.Timeout = cmp.Or(d.Timeout, d.Period/2)
 		d.Missed = cmp.Or(d.Missed, "catch-up")
+		if d.Kind == "note" {
+			d.Life = cmp.Or(d.Life, defaultLife)
+			d.Keep = cmp.Or(d.Keep, "each")
+		}
 	}
 }
 
-// Address is where an instance listens; empty: there is none of that name.
+// Address is where a machine of that name listens; empty: there is none, or it is a director that listens for nobody.
 func (f *File) Address(name string) string {
 	for _, x := range f.Instances {
 		if x.Name == name {
 			return x.Address
 		}
 	}
+	if m := f.machine(name); m != nil {
+		return m.Address
+	}
 	return ""
 }
 
-// Names are the instances', sorted.
+// Names are those that share the duties, sorted: the control machines', or the instances' where there are none.
 func (f *File) Names() (all []string) {
 	for _, x := range f.Instances {
 		all = append(all, x.Name)
 	}
+	for _, x := range f.Control {
+		all = append(all, x.Name)
+	}
 	slices.Sort(all)
 	return all
 }
 
-// Others are the addresses of all but one, by name.
+// Others are the addresses of all that share the duties but one, by name.
 func (f *File) Others(me string) map[string]string {
 	m := map[string]string{}
 	for _, x := range f.Instances {
-		if x.Name != me {
-			m[x.Name] = x.Address
-		}
+		m[x.Name] = x.Address
+	}
+	for _, x := range f.Control {
+		m[x.Name] = x.Address
 	}
+	delete(m, me)
 	return m
 }
 
@@ -175,14 +185,33 @@
 	return all
 }
 
-// Lasting tells which of the keys differ that hold from the start on: a running instance cannot take them.
-func (f *File) Lasting(o *File) (differ []string) {
+// Lasting tells which of the keys differ that hold from the start on: a running machine of that name cannot take them.
+// The list of directors may change, and so may addresses and places. A director keeps no leases: those of the control
+// machines are nothing to it.
+func (f *File) Lasting(o *File, me string) (differ []string) {
+	role := f.Role(me)
+	if role != o.Role(me) {
+		differ = append(differ, "this machine's role")
+	}
 	if !slices.Equal(f.Names(), o.Names()) {
-		differ = append(differ, "the names of instances")
+		what := "the names of instances"
+		if f.Control != nil || o.Control != nil {
+			what = "the names of control machines"
+		}
+		differ = append(differ, what)
+	}
+	if role == Director {
+		if f.Uplink.Spread != o.Uplink.Spread {
+			differ = append(differ, "uplink.spread")
+		}
+		return differ
 	}
 	if f.Lease != o.Lease || f.Beat != o.Beat || f.Drift != o.Drift {
 		differ = append(differ, "lease, beat or drift")
 	}
+	if f.Uplink.Rate != o.Uplink.Rate {
+		differ = append(differ, "uplink.rate")
+	}
 	if f.Try != o.Try {
 		differ = append(differ, "try")
 	}
--- /dev/null
+++ b/stream/choice.go
@@ -0,0 +1,3 @@
+package stream
+
+type Place struct{ Region, Zone, Site string }
