--- a/cmd/indigochute/duties.go
+++ b/cmd/indigochute/duties.go
@@ -33,7 +33,7 @@
 		Args:    exactly(0),
 	}
 	at := c.Flags().String("at", "", "an instance's address")
-	file := c.Flags().String("operator", "", "operator file: the first instance of it that answers is asked")
+	file := c.Flags().String("operator", "", "operator file: the first instance or control machine of it that answers is asked")
 	json := c.Flags().Bool("json", false, "print JSON")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		var addrs []string
@@ -47,8 +47,8 @@
 			if err != nil {
 				return err
 			}
-			for _, x := range f.Instances {
-				addrs = append(addrs, x.Address)
+			for _, name := range f.Names() {
+				addrs = append(addrs, f.Address(name))
 			}
 		}
 		var faults []error
--- a/operator/control.go
+++ b/operator/control.go
@@ -32,7 +32,7 @@
 type ControlEntry struct {
 	Name    string `yaml:"name" validate:"required" jsonschema:"required,description=the name in its configuration"`
 	Address string `yaml:"address" validate:"required" jsonschema:"required,description=where it listens for the other control machines and for directors"`
-	Region  string `yaml:"region" validate:"required" jsonschema:"required"`
+	Region  string `yaml:"region" validate:"required" jsonschema:"required,description=where it stands"`
 	Zone    string `yaml:"zone" validate:"required" jsonschema:"required,description=of one region"`
 	Site    string `yaml:"site" validate:"required" jsonschema:"required,description=of one zone"`
 }
@@ -41,7 +41,7 @@
 type DirectorEntry struct {
 	Name    string `yaml:"name" validate:"required" jsonschema:"required,description=the director's name in its configuration"`
 	Address string `yaml:"address" jsonschema:"description=where it listens to be asked for its status; empty: nowhere"`
-	Region  string `yaml:"region" validate:"required" jsonschema:"required"`
+	Region  string `yaml:"region" validate:"required" jsonschema:"required,description=where it stands"`
 	Zone    string `yaml:"zone" validate:"required" jsonschema:"required,description=of one region"`
 	Site    string `yaml:"site" validate:"required" jsonschema:"required,description=of one zone"`
 }
--- a/operator/control_test.go
+++ b/operator/control_test.go
@@ -1,12 +1,15 @@
 package operator
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"indigochute.example/indigochute/duty"
 	"indigochute.example/indigochute/stream"
 )
 
@@ -32,6 +35,105 @@
 	return f
 }
 
+// The annotated file of control machines in deploy/ is read with its example of a note as well, fits the schema and gives
+// the core a configuration that it takes; each region has a control machine and none has a majority.
+func TestDeployedControl(t *testing.T) {
+	raw, err := os.ReadFile("../deploy/control.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	withNote := strings.Replace(string(raw), "  # - {name: notes,", "  - {name: notes,", 1)
+	if withNote == string(raw) {
+		t.Fatal("no example of a note in the file")
+	}
+	for _, text := range []string{string(raw), withNote} {
+		fitsSchema(t, []byte(text))
+		f := parsed(t, text, "d10")
+		c := duty.Config{Me: "c0", All: f.Names(), Lease: f.Lease.D(), Beat: f.Beat.D(), Drift: float64(f.Drift), Duties: f.List()}
+		if err := c.Check(); err != nil || len(f.Others("c0")) != 8 || f.Address("c8") != "10.6.0.1:7400" ||
+			f.Role("d10") != Director {
+			t.Errorf("%v %+v", err, f)
+		}
+		for _, r := range f.Regions() {
+			if r.Control < 1 || r.Control > 4 {
+				t.Errorf("%+v", r)
+			}
+		}
+	}
+}
+
+// The schema says of the new keys what the reader does.
+func TestControlSchema(t *testing.T) {
+	schema := compiledSchema(t)
+	fitsSchema(t, []byte(small))
+	for _, change := range [][2]string{
+		{", site: n2a", ""}, {"address: 10.0.0.2:7400, ", ""}, {"{name: d1, region: south,", "{name: d1,"},
+		{"rate: 20KB/s", "rate: 20KB"}, {"spread: 1s", "spread: 1"}, {"keep: last", "keep: some"}, {"bytes: 60", "bytes: many"}, {"spread: 1s", "spreed: 1s"},
+		{"  - {name: c2, address: 10.0.0.2:7400, region: north, zone: n2, site: n2a}\n", ""},
+	} {
+		bad := strings.Replace(small, change[0], change[1], 1)
+		if bad == small {
+			t.Fatalf("%q is not in the file", change[0])
+		}
+		if schema.Validate(asValue(t, []byte(bad))) == nil {
+			t.Errorf("%q fits", change[1])
+		}
+	}
+	text, err := Schema()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var defs struct {
+		Defs map[string]struct {
+			Properties map[string]struct {
+				Description string `json:"description"`
+			} `json:"properties"`
+		} `json:"$defs"`
+	}
+	if err := json.Unmarshal(text, &defs); err != nil {
+		t.Fatal(err)
+	}
+	for of, keys := range map[string]string{"File": "control directors uplink",
+		"ControlEntry": "name address region zone site", "DirectorEntry": "name address region zone site", "Uplink": "rate spread", "Duty": "bytes life keep"} {
+		for key := range strings.FieldsSeq(keys) {
+			if defs.Defs[of].Properties[key].Description == "" {
+				t.Errorf("%s of %s has no description", key, of)
+			}
+		}
+	}
+}
+
+func TestRegions(t *testing.T) {
+	const south, east = "{name: d1, region: south, zone: s1, site: s1a}", "{name: d1, region: east, zone: e1, site: e1a}"
+	f := parsed(t, strings.Replace(small, south, east, 1), "")
+	all := f.Regions()
+	if len(all) != 3 || all[0].Name != "east" || all[0].Control != 0 || all[0].Directors != 1 || all[1].Control != 2 ||
+		all[2].Control != 1 {
+		t.Fatalf("%+v", all)
+	}
+	if z := all[1].Zones; len(z) != 1 || z[0].Name != "n1" || z[0].Directors != 1 ||
+		!slices.Equal(z[0].Sites, []Site{{"n1b", 1}}) || len(all[2].Zones) != 0 {
+		t.Errorf("%+v", all)
+	}
+	f = parsed(t, sized(580), "")
+	if f.Links(0) != 1160.0/9 || f.Links(4) != 232 || f.Links(8) != 0 {
+		t.Errorf("%g %g %g", f.Links(0), f.Links(4), f.Links(8))
+	}
+	directors, zones, sites := 0, 0, 0
+	for _, r := range f.Regions() {
+		for _, z := range r.Zones {
+			zones++
+			for _, s := range z.Sites {
+				sites++
+				directors += s.Directors
+			}
+		}
+	}
+	if len(f.Regions()) != 7 || zones != 18 || sites != 39 || directors != 580 {
+		t.Errorf("%d regions, %d zones, %d sites, %d directors", len(f.Regions()), zones, sites, directors)
+	}
+}
+
 func TestControl(t *testing.T) {
 	f := parsed(t, small, "d1")
 	for name, is := range map[string]Role{"c0": ControlMachine, "d0": Director, "x": Unknown, "": Unknown} {
@@ -48,7 +150,8 @@
 	if o := f.Others("c0"); len(o) != 2 || o["c1"] != "10.0.1.1:7400" || o["c2"] != "10.0.0.2:7400" {
 		t.Errorf("%v", o)
 	}
-	if f.Address("c1") != "10.0.1.1:7400" || f.Address("d0") != "10.0.0.9:7400" || f.Address("d1") != "" || f.Address("x") != "" {
+	if f.Address("c1") != "10.0.1.1:7400" || f.Address("d0") != "10.0.0.9:7400" ||
+		f.Address("d1") != "" || f.Address("x") != "" {
 		t.Error("addresses")
 	}
 	if p := f.Place("c2"); p != (stream.Place{Region: "north", Zone: "n2", Site: "n2a"}) {
@@ -70,7 +173,8 @@
 	if d := f.Duties[1]; d.Life.D() != 10*time.Minute || d.Keep != "each" {
 		t.Errorf("%+v", d)
 	}
-	if m := parsed(t, string(deployed(t)), "n1"); m.Role("n1") != Member || m.Role("n9") != Unknown || m.ControlNames() != nil || m.DirectorNames() != nil {
+	m := parsed(t, string(deployed(t)), "n1")
+	if m.Role("n1") != Member || m.Role("n9") != Unknown || m.ControlNames() != nil || m.DirectorNames() != nil {
 		t.Error("a file of instances")
 	}
 }
@@ -136,7 +240,8 @@
 			t.Errorf("%q: %v\nwhere %q is expected", x.new, err, x.says)
 		}
 	}
-	if _, err := Parse("control.yaml", []byte(small), "d7"); err == nil || !strings.Contains(err.Error(), "5: directors: found no control machine or director «d7»") {
+	_, err := Parse("control.yaml", []byte(small), "d7")
+	if err == nil || !strings.Contains(err.Error(), "control.yaml:5: directors: found no control machine or director «d7»") {
 		t.Errorf("an unknown director: %v", err)
 	}
 }
@@ -198,7 +303,8 @@
 			t.Errorf("%q at %s: %q differ, %q are expected", x.new, x.me, differ, x.differ)
 		}
 	}
-	if d := parsed(t, string(deployed(t)), "").Lasting(was, "d0"); !slices.Contains(d, "this machine's role") || !slices.Contains(d, "the names of control machines") {
+	d := parsed(t, string(deployed(t)), "").Lasting(was, "d0")
+	if !slices.Contains(d, "this machine's role") || !slices.Contains(d, "the names of control machines") {
 		t.Errorf("instances in place of control machines: %q", d)
 	}
 }
@@ -219,7 +325,8 @@
 	if same == small || lists(same) != was {
 		t.Error("order, an address or a director makes a difference")
 	}
-	if a, b := (&File{Control: []ControlEntry{{Name: "a1"}, {Name: "b"}}}), (&File{Control: []ControlEntry{{Name: "a"}, {Name: "1b"}}}); a.Lists() == b.Lists() {
+	a, b := &File{Control: []ControlEntry{{Name: "a1"}, {Name: "b"}}}, &File{Control: []ControlEntry{{Name: "a"}, {Name: "1b"}}}
+	if a.Lists() == b.Lists() {
 		t.Error("names run into each other")
 	}
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -32,6 +32,19 @@
 	if err := c.Check(); err != nil || len(f.Others("n1")) != 2 || f.Address("n1") != "10.0.0.2:7400" {
 		t.Errorf("%v %+v", err, f)
 	}
+	fitsSchema(t, raw)
+}
+
+// fitsSchema fails the test where a file does not fit the schema.
+func fitsSchema(t *testing.T, raw []byte) {
+	t.Helper()
+	if err := compiledSchema(t).Validate(asValue(t, raw)); err != nil {
+		t.Error(err)
+	}
+}
+
+func compiledSchema(t *testing.T) *jsonschema.Schema {
+	t.Helper()
 	text, err := Schema()
 	if err != nil {
 		t.Fatal(err)
@@ -46,15 +59,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return compiled
+}
+
+func asValue(t *testing.T, raw []byte) (value any) {
+	t.Helper()
 	asJSON, err := yaml.YAMLToJSON(raw)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var value any
-	json.Unmarshal(asJSON, &value)
-	if err := compiled.Validate(value); err != nil {
-		t.Error(err)
+	if err := json.Unmarshal(asJSON, &value); err != nil {
+		t.Fatal(err)
 	}
+	return value
 }
 
 // Every fault is told with its line and key, all at once.
