Operator file: a running director takes other names of control machines

Cause: a director neither votes nor keeps leases; to restart hundreds of them for two more control machines is for nothing. Change: Lasting at a director tells of its role and uplink.spread alone. Control machines refuse other names as before.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -186,13 +186,19 @@
 }
 
 // Lasting tells which of the keys differ that hold from the start on: a running machine of that name cannot take them.
-// The list of directors may change, and so may addresses and places. A director keeps no leases: those of the control
-// machines are nothing to it.
+// The list of directors may change, and so may addresses and places. A director neither votes nor keeps leases, so the
+// names and times of control machines may change under it.
 func (f *File) Lasting(o *File, me string) (differ []string) {
 	role := f.Role(me)
 	if role != o.Role(me) {
 		differ = append(differ, "this machine's role")
 	}
+	if role == Director && o.Role(me) == Director {
+		if f.Uplink.Spread != o.Uplink.Spread {
+			differ = append(differ, "uplink.spread")
+		}
+		return differ
+	}
 	if !slices.Equal(f.Names(), o.Names()) {
 		what := "the names of instances"
 		if f.Control != nil || o.Control != nil {
@@ -200,12 +206,6 @@
 		}
 		differ = append(differ, what)
 	}
-	if role == Director {
-		if f.Uplink.Spread != o.Uplink.Spread {
-			differ = append(differ, "uplink.spread")
-		}
-		return differ
-	}
 	if f.Lease != o.Lease || f.Beat != o.Beat || f.Drift != o.Drift {
 		differ = append(differ, "lease, beat or drift")
 	}
