Units in YAML files are read as texts: no more walk over the whole file for each

Cause: the decoder hands the bytes of a value to its type by walking over every token of the document, so reading went with the square of a file's length. TestIdleCost (1,000 duties) failed for it on a busy machine: a director did not listen within 10 s of its start. Change: units take the decoded text. What may be written stays as it was; a test of it passes on both, one of bytes allocated an entry (240,708 at 40 entries, 2,745,621 at 400 before) fails on the former.

--- a/fleet/read.go
+++ b/fleet/read.go
@@ -172,8 +172,8 @@
 		fault(at, "nothing", "a value, or the key left out")
 		return
 	}
-	if p, ok := reflect.New(t).Interface().(yaml.BytesUnmarshaler); ok {
-		if err := p.UnmarshalYAML([]byte(n.String())); err != nil {
+	if u, ok := reflect.New(t).Interface().(unit); ok {
+		if err := u.read(scalar([]byte(n.String()))); err != nil {
 			found, expects, _ := strings.Cut(err.Error(), " where ")
 			fault(at, found, strings.TrimSuffix(strings.Replace(strings.Replace(expects, " is expected", "", 1), " are expected", "", 1), " "))
 		}
--- a/fleet/units.go
+++ b/fleet/units.go
@@ -86,22 +86,39 @@
 	return Share(v), nil
 }
 
-// The YAML decoder calls these with the scalar as it stands in the file.
-
 func scalar(b []byte) string { return strings.Trim(strings.TrimSpace(string(b)), `"'`) }
 
-func take[T any](to *T, b []byte, parse func(string) (T, error)) error {
-	v, err := parse(scalar(b))
+// unit is a type whose values are written with their unit.
+type unit interface{ read(text string) error }
+
+func take[T any](to *T, text string, parse func(string) (T, error)) error {
+	v, err := parse(text)
 	if err == nil {
 		*to = v
 	}
 	return err
 }
 
-func (s *Span) UnmarshalYAML(b []byte) error  { return take(s, b, ParseSpan) }
-func (s *Size) UnmarshalYAML(b []byte) error  { return take(s, b, ParseSize) }
-func (r *Rate) UnmarshalYAML(b []byte) error  { return take(r, b, ParseRate) }
-func (s *Share) UnmarshalYAML(b []byte) error { return take(s, b, ParseShare) }
+func (s *Span) read(text string) error  { return take(s, text, ParseSpan) }
+func (s *Size) read(text string) error  { return take(s, text, ParseSize) }
+func (r *Rate) read(text string) error  { return take(r, text, ParseRate) }
+func (s *Share) read(text string) error { return take(s, text, ParseShare) }
+
+// The YAML decoder calls these. They take the value as a text and not as bytes of the file: for the bytes of one value the
+// decoder walks over the whole document.
+
+func decoded(u unit, value func(any) error) error {
+	var text string
+	if err := value(&text); err != nil {
+		return err
+	}
+	return u.read(text)
+}
+
+func (s *Span) UnmarshalYAML(value func(any) error) error  { return decoded(s, value) }
+func (s *Size) UnmarshalYAML(value func(any) error) error  { return decoded(s, value) }
+func (r *Rate) UnmarshalYAML(value func(any) error) error  { return decoded(r, value) }
+func (s *Share) UnmarshalYAML(value func(any) error) error { return decoded(s, value) }
 
 func (s Span) MarshalYAML() ([]byte, error)  { return []byte(s.String()), nil }
 func (s Size) MarshalYAML() ([]byte, error)  { return []byte(s.String()), nil }
