--- /dev/null
+++ b/stream/encode_test.go
@@ -0,0 +1,218 @@
+package stream
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/msgpack"
+)
+
+func anyNote(chance *rand.Rand) Note {
+	n := Note{Origin: strings.Repeat("o", 1+chance.IntN(MostName)), Epoch: chance.Uint64() >> chance.IntN(64), Number: chance.Uint64() >> chance.IntN(64),
+		Prev: chance.Uint64() >> chance.IntN(64), Short: chance.Uint64() >> chance.IntN(64), Key: strings.Repeat("k", chance.IntN(MostKey+1)),
+		Life: time.Duration(chance.Int64N(int64(MostLife/time.Microsecond))) * time.Microsecond,
+		Age:  time.Duration(chance.Int64N(int64(MostLife/time.Microsecond))) * time.Microsecond}
+	if size := chance.IntN(300); size > 0 {
+		n.Payload = make([]byte, size)
+	}
+	return n
+}
+
+func anyMessage(chance *rand.Rand) *Message {
+	m := &Message{Kind: Kind(chance.IntN(3))}
+	for i := range uint64(chance.IntN(20)) {
+		m.Vector = append(m.Vector, Position{strings.Repeat("o", int(1+i/3)), i, chance.Uint64()})
+	}
+	for range chance.IntN(20) {
+		m.Notes = append(m.Notes, anyNote(chance))
+	}
+	return m
+}
+
+// What was written is read as it was; cut short anywhere, or longer, it is refused.
+func TestCodec(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		m := anyMessage(chance)
+		raw := AppendMessage(nil, m)
+		got, err := ParseMessage(raw)
+		if err != nil || !reflect.DeepEqual(&got, m) {
+			t.Fatalf("%v: %+v was read of %+v", err, got, m)
+		}
+		for range 20 {
+			if got, err := ParseMessage(raw[:chance.IntN(len(raw))]); err == nil || !reflect.DeepEqual(got, Message{}) {
+				t.Fatalf("%v: a part was read as %+v", err, got)
+			}
+		}
+		if _, err := ParseMessage(append(raw, 0)); err == nil {
+			t.Fatal("what follows a message was passed over")
+		}
+		for i := range m.Notes {
+			if one := AppendNotes(nil, m.Notes[i:i+1]); len(one)-1 > m.Notes[i].size() {
+				t.Fatalf("a note counted as %d bytes takes %d", m.Notes[i].size(), len(one))
+			}
+		}
+	}
+	vector, notes := Vector{{"a", 1, 2}, {"b", 1, 1 << 63}}, []Note{note("a", 1, 2, 3)}
+	if got, err := ParseVector(AppendVector(nil, vector)); err != nil || !reflect.DeepEqual(got, vector) {
+		t.Errorf("%v: %v was read of %v", err, got, vector)
+	}
+	if got, err := ParseNotes(AppendNotes(nil, notes)); err != nil || !reflect.DeepEqual(got, notes) {
+		t.Errorf("%v: %v was read of %v", err, got, notes)
+	}
+	for raw, i := AppendVector(nil, vector), 0; i < len(raw); i++ {
+		if _, err := ParseVector(raw[:i]); err == nil {
+			t.Errorf("%d of %d bytes were read as a vector", i, len(raw))
+		}
+	}
+	for raw, i := AppendNotes(nil, notes), 0; i < len(raw); i++ {
+		if _, err := ParseNotes(raw[:i]); err == nil {
+			t.Errorf("%d of %d bytes were read as notes", i, len(raw))
+		}
+	}
+}
+
+// No note lives longer by being told: its life is rounded down, its age up.
+func TestCodecRoundsLives(t *testing.T) {
+	n := Note{Origin: "a", Epoch: 1, Number: 1, Life: 10*time.Microsecond + 999, Age: 3*time.Microsecond + 1}
+	got, err := ParseNotes(AppendNotes(nil, []Note{n}))
+	if err != nil || got[0].Life != 10*time.Microsecond || got[0].Age != 4*time.Microsecond {
+		t.Errorf("%v: life and age of %+v", err, got)
+	}
+	n.Life, n.Age = 2*MostLife, 3*MostLife
+	if got, err = ParseNotes(AppendNotes(nil, []Note{n})); err != nil || got[0].Life != MostLife || got[0].Age != MostLife {
+		t.Errorf("%v: life and age of %+v", err, got)
+	}
+}
+
+func TestCodecBounds(t *testing.T) {
+	list := func(n int, one func([]byte) []byte) []byte {
+		b := msgpack.AppendList(nil, n)
+		for range n {
+			b = one(b)
+		}
+		return b
+	}
+	tooMany := make(Vector, MostPositions+1)
+	for i := range tooMany {
+		tooMany[i] = Position{"a", uint64(i), 1}
+	}
+	if _, err := ParseVector(AppendVector(nil, tooMany)); err == nil {
+		t.Error("a vector longer than one can be was read")
+	}
+	if v, err := ParseVector(AppendVector(nil, tooMany[1:])); err != nil || len(v) != MostPositions {
+		t.Errorf("the longest vector: %v", err)
+	}
+	for what, raw := range map[string][]byte{
+		"out of order":      AppendVector(nil, Vector{{"b", 1, 1}, {"a", 1, 1}}),
+		"epochs reversed":   AppendVector(nil, Vector{{"a", 2, 1}, {"a", 1, 1}}),
+		"twice":             AppendVector(nil, Vector{{"a", 1, 1}, {"a", 1, 2}}),
+		"a name too long":   AppendVector(nil, Vector{{strings.Repeat("x", MostName+1), 1, 1}}),
+		"two values":        list(1, func(b []byte) []byte { return msgpack.AppendUint(msgpack.AppendText(msgpack.AppendList(b, 2), "a"), 1) }),
+		"two, then a third": append(list(1, func(b []byte) []byte { return msgpack.AppendUint(msgpack.AppendText(msgpack.AppendList(b, 2), "a"), 1) }), 1),
+		"a long list":       {0xdd, 0xff, 0xff, 0xff, 0xff},
+		"no list":           {1},
+		"nothing":           {},
+	} {
+		if v, err := ParseVector(raw); err == nil || v != nil {
+			t.Errorf("a vector with %s was read as %v", what, v)
+		}
+	}
+	n := note("a", 1, 0, 1)
+	for what, raw := range map[string][]byte{
+		"a payload too long": AppendNotes(nil, []Note{*n.with(func(n *Note) { n.Payload = make([]byte, MostPayload+1) })}),
+		"a key too long":     AppendNotes(nil, []Note{*n.with(func(n *Note) { n.Key = strings.Repeat("x", MostKey+1) })}),
+		"a name too long":    AppendNotes(nil, []Note{*n.with(func(n *Note) { n.Origin = strings.Repeat("x", MostName+1) })}),
+		"too many":           AppendNotes(nil, make([]Note, MostNotes+1)),
+	} {
+		if list, err := ParseNotes(raw); err == nil || list != nil {
+			t.Errorf("notes with %s were read", what)
+		}
+	}
+	if list, err := ParseNotes(AppendNotes(nil, make([]Note, MostNotes))); err != nil || len(list) != MostNotes {
+		t.Errorf("as many notes as can be: %v", err)
+	}
+	for _, kind := range []Kind{Tell + 1, 255} {
+		if _, err := ParseMessage(AppendMessage(nil, &Message{Kind: kind})); err == nil {
+			t.Errorf("a message of kind %d was read", kind)
+		}
+	}
+	if _, err := ParseMessage(append([]byte{0x94}, AppendMessage(nil, &Message{})[1:]...)); err == nil {
+		t.Error("a message of four values was read")
+	}
+}
+
+// Random bytes, and messages with some bytes changed, are read without harm; what is read of them is within bounds.
+func TestCodecOfNoise(t *testing.T) {
+	chance := rand.New(rand.NewPCG(2, 2))
+	read := 0
+	for i := range 20000 {
+		raw := make([]byte, chance.IntN(100))
+		for k := range raw {
+			raw[k] = byte(chance.Uint32())
+		}
+		if i%2 == 0 {
+			raw = AppendMessage(nil, anyMessage(chance))
+			for range 1 + chance.IntN(3) {
+				raw[chance.IntN(len(raw))] = byte(chance.Uint32())
+			}
+		}
+		read += harmless(t, raw)
+	}
+	if read == 0 {
+		t.Error("none of them was read at all")
+	}
+}
+
+// harmless reads bytes in all ways, and has a node and a reader take what is read, which it counts.
+func harmless(t *testing.T, raw []byte) (read int) {
+	t.Helper()
+	if v, err := ParseVector(raw); err == nil {
+		read++
+		if again, err := ParseVector(AppendVector(nil, v)); err != nil || len(again) != len(v) {
+			t.Fatalf("a vector that was read is not read again: %v", err)
+		}
+		New(Config{Me: "o", Origins: []string{"o", "oo"}, Epoch: 1}).Subscribe(v)
+	}
+	if list, err := ParseNotes(raw); err == nil {
+		read++
+		r := NewReader([]string{"o", "oo"})
+		for i := range list {
+			r.Take(&list[i])
+		}
+	}
+	m, err := ParseMessage(raw)
+	if err != nil {
+		return read
+	}
+	again := AppendMessage(nil, &m)
+	if m2, err := ParseMessage(again); err != nil || !bytes.Equal(AppendMessage(nil, &m2), again) {
+		t.Fatalf("a message that was read is not read again: %v", err)
+	}
+	n := New(Config{Me: "o", Origins: []string{"o", "oo", "ooo"}, Epoch: 1})
+	if _, err := n.Publish(0, "k", time.Minute, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, from := range []string{"oo", "ooo", "o"} {
+		m.From, m.To = from, "o"
+		n.Receive(time.Second, &m)
+		n.Next(time.Second, n.Subscribe(m.Vector), 1000)
+		n.Tick(2 * time.Second)
+	}
+	return read + 1
+}
+
+func FuzzParse(f *testing.F) {
+	chance := rand.New(rand.NewPCG(3, 3))
+	for range 20 {
+		m := anyMessage(chance)
+		f.Add(AppendMessage(nil, m))
+		f.Add(AppendVector(nil, m.Vector))
+		f.Add(AppendNotes(nil, m.Notes))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) { harmless(t, raw) })
+}
--- /dev/null
+++ b/stream/node_test.go
@@ -0,0 +1,649 @@
+package stream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// three is the configuration of one of three control machines.
+func three(me string, epoch uint64) Config {
+	return Config{Me: me, Origins: []string{"c", "a", "b"}, Epoch: epoch, Beat: beat}
+}
+
+// publish has a node publish a note of a minute, and gives what it tells.
+func publish(t *testing.T, n *Node, now time.Duration, key string) []Message {
+	t.Helper()
+	out, err := n.Publish(now, key, time.Minute, []byte(key))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// to is the one message to somebody.
+func to(t *testing.T, name string, list []Message) *Message {
+	t.Helper()
+	var found *Message
+	for i := range list {
+		if list[i].To == name {
+			if found != nil {
+				t.Fatalf("two messages to %s in %v", name, list)
+			}
+			found = &list[i]
+		}
+	}
+	if found == nil {
+		t.Fatalf("no message to %s in %v", name, list)
+	}
+	return found
+}
+
+// numbers of notes as "origin epoch:(prev,number]".
+func numbers(list []Note) (s []string) {
+	for _, n := range list {
+		s = append(s, fmt.Sprintf("%s %d:(%d,%d]", n.Origin, n.Epoch, n.Prev, n.Number))
+	}
+	return s
+}
+
+func same(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%s: %v, %v is expected", what, got, want)
+	}
+}
+
+func TestConfigCheck(t *testing.T) {
+	ok := three("a", 1)
+	if err := ok.Check(); err != nil {
+		t.Error(err)
+	}
+	many := []string{"a"}
+	for i := range MostOrigins {
+		many = append(many, fmt.Sprint("m", i))
+	}
+	for what, change := range map[string]func(*Config){
+		"not among":            func(c *Config) { c.Me = "d" },
+		"an epoch of 0":        func(c *Config) { c.Epoch = 0 },
+		"a beat of":            func(c *Config) { c.Beat = -1 },
+		"notes of":             func(c *Config) { c.MostEntries = -1 },
+		"bytes at most":        func(c *Config) { c.MostBytes = MostPayload },
+		"two control":          func(c *Config) { c.Origins = []string{"a", "b", "b"} },
+		`named ""`:             func(c *Config) { c.Origins = []string{"a", ""} },
+		"1 to 64 bytes":        func(c *Config) { c.Origins = []string{"a", strings.Repeat("x", MostName+1)} },
+		"33 control":           func(c *Config) { c.Origins = many },
+		"1 and 65920 at least": func(c *Config) { c.MostBytes = leastBytes - 1 },
+	} {
+		c := three("a", 1)
+		change(&c)
+		if err := c.Check(); err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%q is expected, not %v", what, err)
+		}
+	}
+}
+
+func TestPublishRefuses(t *testing.T) {
+	n := New(three("a", 1))
+	for what, call := range map[string]func() ([]Message, error){
+		"a key of 0":     func() ([]Message, error) { return n.Publish(0, "", time.Second, nil) },
+		"a key of 129":   func() ([]Message, error) { return n.Publish(0, strings.Repeat("x", MostKey+1), time.Second, nil) },
+		"a payload of":   func() ([]Message, error) { return n.Publish(0, "k", time.Second, make([]byte, MostPayload+1)) },
+		"a life of 0s":   func() ([]Message, error) { return n.Publish(0, "k", 0, nil) },
+		"a life of 1000": func() ([]Message, error) { return n.Publish(0, "k", MostLife+1, nil) },
+	} {
+		if out, err := call(); err == nil || !strings.Contains(err.Error(), what) || out != nil {
+			t.Errorf("%q is expected, not %v", what, err)
+		}
+	}
+	same(t, "counts", n.Counts(), Counts{})
+	payload := []byte("one")
+	out, err := n.Publish(0, strings.Repeat("x", MostKey), MostLife, payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	copy(payload, "two")
+	same(t, "told", string(to(t, "b", out).Notes[0].Payload), "one")
+	if _, err := n.Publish(0, "k", time.Second, make([]byte, MostPayload)); err != nil {
+		t.Error(err)
+	}
+}
+
+// A newer note of a key supersedes the older, within an epoch and from an older to a newer one, not the other way.
+func TestSuperseding(t *testing.T) {
+	n := New(three("a", 1))
+	for _, key := range []string{"x", "y", "x", "z"} {
+		publish(t, n, 0, key)
+	}
+	same(t, "what is kept", numbers(n.Next(0, n.Subscribe(nil), 1<<20)), []string{"a 1:(0,2]", "a 1:(2,3]", "a 1:(3,4]"})
+	told := publish(t, n, 0, "z")
+	same(t, "told", numbers(to(t, "b", told).Notes), []string{"a 1:(3,5]"})
+
+	b := func(epoch, prev, number uint64, key string) []Note {
+		x := note("b", epoch, prev, number)
+		x.Key = key
+		_, fresh := n.Receive(0, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{x}})
+		return fresh
+	}
+	same(t, "new ones", len(b(5, 0, 1, "x"))+len(b(5, 1, 2, "y")), 2)
+	same(t, "one of a newer epoch", len(b(7, 0, 1, "x")), 1)
+	same(t, "one of an older epoch", len(b(5, 2, 3, "x")), 0)
+	same(t, "one of its key that is free", len(b(5, 3, 4, "w")), 1)
+	c := n.Subscribe(Vector{{"a", 1, 5}})
+	same(t, "what is kept of b", numbers(n.Next(0, c, 1<<20)), []string{"b 5:(0,2]", "b 5:(2,4]", "b 7:(0,1]"})
+	same(t, "counts", n.Counts(), Counts{Published: 5, Taken: 4, Superseded: 1, Entries: 6, Bytes: n.Counts().Bytes})
+}
+
+// An expired note moves the position, and its age is what was spent of its life at all that held it.
+func TestExpiry(t *testing.T) {
+	a, b := New(three("a", 1)), New(three("b", 1))
+	out, _ := a.Publish(time.Hour, "x", 10*time.Second, nil)
+	publish(t, a, time.Hour, "y")
+	a.Publish(time.Hour, "z", 12*time.Second, nil)
+	m := to(t, "b", out)
+	m.Notes[0].Age = 4 * time.Second
+	if _, fresh := b.Receive(time.Minute, m); len(fresh) != 1 {
+		t.Fatal("not taken")
+	}
+	list := b.Next(time.Minute+5999*time.Millisecond, b.Subscribe(nil), 1000)
+	if len(list) != 1 || list[0].Age != 9999*time.Millisecond || list[0].Life != 10*time.Second {
+		t.Errorf("sent on as %+v", list)
+	}
+	list = b.Next(time.Minute+6*time.Second, b.Subscribe(nil), 1000)
+	if len(list) != 1 || list[0].Life != 0 || list[0].Number != 1 || list[0].Key != "" {
+		t.Errorf("after its life it is sent as %+v", list)
+	}
+	r := NewReader([]string{"a"})
+	same(t, "verdict", r.Take(&list[0]), Expired)
+	same(t, "position", r.Vector(), Vector{{"a", 1, 1}})
+
+	now := time.Hour + 11*time.Second
+	same(t, "the first expired", numbers(a.Next(now, a.Subscribe(nil), 1000)), []string{"a 1:(0,2]", "a 1:(2,3]"})
+	now += time.Second
+	list = a.Next(now, a.Subscribe(nil), 1000)
+	same(t, "the last expired", numbers(list), []string{"a 1:(0,2]", "a 1:(2,3]"})
+	same(t, "its life", list[1].Life, time.Duration(0))
+	same(t, "kept before a tick", a.Counts().Entries, 3)
+	a.Tick(now)
+	same(t, "kept after it", a.Counts().Entries, 1)
+
+	late := note("a", 1, 1, 2)
+	late.Age = late.Life
+	_, fresh := b.Receive(0, &Message{Kind: Tell, From: "a", To: "b", Notes: []Note{late}})
+	same(t, "one that comes after its life", len(fresh), 0)
+	same(t, "position", b.Vector(), Vector{{"a", 1, 2}})
+	same(t, "expired", b.Counts().Expired, 1)
+}
+
+// Over the bound of entries the oldest goes, whichever origin's; who has not read it is told that some is lost, once.
+func TestEvictionByEntries(t *testing.T) {
+	c := three("a", 1)
+	c.MostEntries = 3
+	a := New(c)
+	first := note("b", 1, 0, 1)
+	a.Receive(0, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{first}})
+	early, behind := a.Subscribe(nil), a.Subscribe(nil)
+	same(t, "sent early", len(a.Next(0, early, 1000)), 1)
+	for i := range 5 {
+		publish(t, a, 0, fmt.Sprint("k", i))
+	}
+	same(t, "counts", a.Counts(), Counts{Published: 5, Taken: 1, Evicted: 3, Entries: 3, Bytes: a.Counts().Bytes})
+	list := a.Next(0, behind, 1000)
+	same(t, "sent", numbers(list), []string{"a 1:(0,3]", "a 1:(3,4]", "a 1:(4,5]", "b 1:(0,1]"})
+	same(t, "lost up to", []uint64{list[0].Short, list[1].Short, list[2].Short, list[3].Short}, []uint64{2, 0, 0, 1})
+	r := NewReader([]string{"a", "b"})
+	for i := range list {
+		r.Take(&list[i])
+	}
+	same(t, "reader", r.Counts(), ReaderCounts{Taken: 3, Expired: 1, Short: 2})
+
+	// One that has read what was evicted misses nothing.
+	list = a.Next(0, a.Subscribe(Vector{{"a", 1, 2}, {"b", 1, 1}}), 1000)
+	same(t, "sent", numbers(list), []string{"a 1:(2,3]", "a 1:(3,4]", "a 1:(4,5]"})
+	same(t, "lost up to", list[0].Short, uint64(0))
+
+	// Another control machine that begins with this one's log hands on that some is lost, to whom it is news.
+	b := New(three("b", 2))
+	b.Receive(0, &Message{Kind: Have, From: "a", To: "b", Vector: a.Vector()})
+	out, _ := a.Receive(0, &Message{Kind: Want, From: "b", To: "a", Vector: Vector{{"a", 1, 0}, {"b", 1, 0}}})
+	for i := range out {
+		b.Receive(0, &out[i])
+	}
+	same(t, "vector", b.Vector(), a.Vector())
+	same(t, "short", b.Counts().Short, 2)
+	b.Tick(0)
+	list = b.Next(0, b.Subscribe(Vector{{"a", 1, 1}}), 1000)
+	same(t, "sent on", numbers(list), []string{"a 1:(1,3]", "a 1:(3,4]", "a 1:(4,5]", "b 1:(0,1]"})
+	same(t, "lost up to", []uint64{list[0].Short, list[1].Short, list[3].Short}, []uint64{2, 0, 1})
+	list = b.Next(0, b.Subscribe(Vector{{"a", 1, 2}}), 1000)
+	same(t, "lost up to", list[0].Short, uint64(0))
+}
+
+func TestEvictionByBytes(t *testing.T) {
+	c := three("a", 1)
+	c.MostBytes = 4 * leastBytes
+	n := New(c)
+	for i := range 20 {
+		if _, err := n.Publish(0, fmt.Sprint("k", i), time.Hour, make([]byte, MostPayload)); err != nil {
+			t.Fatal(err)
+		}
+		if n.Counts().Bytes > c.MostBytes {
+			t.Fatalf("%d bytes are kept, %d are allowed", n.Counts().Bytes, c.MostBytes)
+		}
+	}
+	same(t, "kept", n.Counts().Entries, 4)
+	same(t, "evicted", n.Counts().Evicted, 16)
+	for i := range 600 { // small ones have large ones make room, one by one
+		publish(t, n, 0, fmt.Sprint("s", i))
+	}
+	if x := n.Counts(); x.Evicted < 18 || x.Bytes > c.MostBytes || x.Entries < 600 {
+		t.Errorf("%+v", x)
+	}
+	// What has expired makes room before anything that lives.
+	n = New(c)
+	for i := range 4 {
+		n.Publish(0, fmt.Sprint("k", i), time.Duration(4-i)*time.Second, make([]byte, MostPayload))
+	}
+	n.Publish(2*time.Second, "new", time.Second, make([]byte, MostPayload))
+	same(t, "evicted", n.Counts().Evicted, 0)
+	same(t, "kept", numbers(n.Next(2*time.Second, n.Subscribe(nil), 1<<30)), []string{"a 1:(0,1]", "a 1:(1,2]", "a 1:(2,5]"})
+}
+
+// Sixteen epochs of an origin are kept while something in them lives; a seventeenth puts the oldest out, for good, but never
+// the one that this node publishes in.
+func TestEpochsOfAnOrigin(t *testing.T) {
+	for _, origin := range []string{"a", "b"} { // its own earlier lives and another's
+		n := New(three("a", 100))
+		tell := func(epoch uint64) int {
+			_, fresh := n.Receive(0, &Message{Kind: Tell, From: "c", To: "a", Notes: []Note{*note(origin, epoch, 0, 1).with(func(n *Note) {
+				n.Key = fmt.Sprint("of", epoch)
+			})}})
+			return len(fresh)
+		}
+		publish(t, n, 0, "own")
+		room := uint64(logEpochs)
+		if origin == "a" {
+			room--
+		}
+		for e := range room {
+			if tell(200+2*e) != 1 {
+				t.Fatalf("epoch %d of %s was not taken", 200+2*e, origin)
+			}
+		}
+		same(t, "evicted", n.Counts().Evicted, 0)
+		same(t, "one older than all", tell(150), 0)
+		same(t, "old", n.Counts().Old, 1)
+		same(t, "one between", tell(203), 1)
+		same(t, "evicted", n.Counts().Evicted, 1)
+		same(t, "the one that was put out", tell(200), 0)
+		same(t, "old", n.Counts().Old, 2)
+		logs := 0
+		for _, l := range n.store.sorted {
+			if l.origin == origin {
+				logs++
+			}
+		}
+		same(t, "logs", logs, logEpochs)
+		same(t, "own", n.Vector().At("a", 100), uint64(1))
+		publish(t, n, 0, "own 2")
+		same(t, "own", n.Vector().At("a", 100), uint64(2))
+
+		// Nobody is asked for what was put out, and nobody gets it.
+		out, _ := n.Receive(0, &Message{Kind: Have, From: "b", To: "a", Vector: Vector{{origin, 150, 7}, {origin, 200, 9}}})
+		same(t, "asked", len(out), 0)
+		out, _ = n.Receive(0, &Message{Kind: Want, From: "b", To: "a", Vector: Vector{{origin, 200, 0}}})
+		same(t, "answered", len(out), 0)
+		same(t, "old", n.Counts().Old, 3)
+
+		// Once all of an epoch has expired, its log goes; its numbers stay known.
+		n.Tick(2 * time.Minute)
+		same(t, "vector", len(n.Vector()), map[string]int{"a": 2, "b": 2}[origin]) // own and the newest
+		same(t, "one that came before", tell(202), 0)
+		same(t, "doubled", n.Counts().Doubled, 1)
+		out, _ = n.Receive(0, &Message{Kind: Want, From: "b", To: "a", Vector: Vector{{origin, 202, 0}}})
+		if len(out) != 1 || len(out[0].Notes) != 1 || out[0].Notes[0].Life != 0 || out[0].Notes[0].Number != 1 {
+			t.Errorf("who asks for what has expired is told %+v", out)
+		}
+	}
+}
+
+// A subscriber ahead of the log is sent nothing of that epoch until the log is past it, and all else at once.
+func TestSubscriberAhead(t *testing.T) {
+	n := New(three("a", 1))
+	publish(t, n, 0, "x")
+	c := n.Subscribe(Vector{{"a", 1, 3}, {"b", 9, 2}, {"stranger", 1, 1}})
+	same(t, "ahead", n.Counts().Ahead, 2)
+	same(t, "strange", n.Counts().Strange, 1)
+	same(t, "sent", numbers(n.Next(0, c, 1000)), []string(nil))
+	other := note("b", 8, 0, 1)
+	n.Receive(0, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{other}})
+	same(t, "sent", numbers(n.Next(0, c, 1000)), []string{"b 8:(0,1]"})
+	for i := range uint64(3) {
+		n.Receive(0, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{*note("b", 9, i, i+1).with(func(n *Note) { n.Key = fmt.Sprint("9/", i) })}})
+		publish(t, n, 0, fmt.Sprint("k", i))
+	}
+	same(t, "sent", numbers(n.Next(0, c, 1000)), []string{"a 1:(3,4]", "b 9:(2,3]"})
+	same(t, "sent", numbers(n.Next(0, c, 1000)), []string(nil))
+}
+
+// Next keeps to its bytes, gives one note at least, and has origins take turns.
+func TestNextIsBounded(t *testing.T) {
+	n := New(three("a", 1))
+	for i := range uint64(50) {
+		if _, err := n.Publish(0, fmt.Sprint("k", i), time.Hour, make([]byte, 900)); err != nil {
+			t.Fatal(err)
+		}
+		for _, origin := range []string{"b", "c"} {
+			n.Receive(0, &Message{Kind: Tell, From: origin, To: "a", Notes: []Note{*note(origin, 1, i, i+1).with(func(n *Note) { n.Payload = make([]byte, 900) })}})
+		}
+	}
+	for _, most := range []int{0, 1, 999, 3500, 20000, 1 << 20} {
+		c, r, sent := n.Subscribe(nil), NewReader([]string{"a", "b", "c"}), map[string]int{}
+		for rounds := 0; ; rounds++ {
+			list := n.Next(0, c, most)
+			if len(list) == 0 {
+				break
+			}
+			if raw := AppendNotes(nil, list); len(raw) > most+5 && len(list) > 1 {
+				t.Fatalf("%d notes in %d bytes where %d are the most", len(list), len(raw), most)
+			}
+			for i := range list {
+				same(t, "verdict", r.Take(&list[i]), Taken)
+				sent[list[i].Origin]++
+			}
+			if least, largest := min(sent["a"], sent["b"], sent["c"]), max(sent["a"], sent["b"], sent["c"]); largest-least > 1+most/900 {
+				t.Fatalf("bytes %d: %d notes of one origin were sent and %d of another", most, largest, least)
+			}
+		}
+		same(t, "taken", r.Counts().Taken, 150)
+	}
+}
+
+// What is kept, and what follows any position, is as a plain list of all notes would have it, whatever was superseded, has
+// expired or was evicted; and what is gone takes no more place than what lives.
+func TestLogIsAsAPlainList(t *testing.T) {
+	type plain struct {
+		key   string
+		until time.Duration
+	}
+	for seed := range uint64(60) {
+		chance := rand.New(rand.NewPCG(seed, 5))
+		c := three("a", 1)
+		c.MostEntries = 20 + chance.IntN(300)
+		n := New(c)
+		var all []plain // by number
+		now, gone := time.Duration(0), map[uint64]bool{}
+		keys := 1 + chance.IntN(400)
+		for range 1500 {
+			now += time.Duration(chance.IntN(20)) * time.Millisecond
+			life := time.Duration(1+chance.IntN(1<<chance.IntN(14))) * time.Millisecond
+			key := fmt.Sprint(chance.IntN(keys))
+			if _, err := n.Publish(now, key, life, nil); err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, plain{key, now + life})
+			newest, live := map[string]bool{}, []uint64{}
+			for i := len(all); i > 0; i-- {
+				p := all[i-1]
+				if number := uint64(i); !newest[p.key] && !gone[number] && p.until > now {
+					live = append(live, number)
+				}
+				newest[p.key] = true
+			}
+			slices.Reverse(live)
+			for len(live) > c.MostEntries {
+				gone[live[0]], live = true, live[1:]
+			}
+			if chance.IntN(5) == 0 {
+				n.Tick(now)
+			}
+			if l := n.own; l.live > c.MostEntries || len(l.entries) > 2*l.live+sparse || len(n.store.expiry) > 2*n.store.entries+sparse {
+				t.Fatalf("seed %d: %d entries in a list of %d and a heap of %d", seed, l.live, len(l.entries), len(n.store.expiry))
+			}
+			from := uint64(chance.IntN(len(all) + 1))
+			at, k := from, slices.IndexFunc(live, func(x uint64) bool { return x > from })
+			for _, x := range n.Next(now, n.Subscribe(Vector{{"a", 1, from}}), 1<<20) {
+				if x.Life == 0 {
+					if k >= 0 && k < len(live) || x.Number != uint64(len(all)) {
+						t.Fatalf("seed %d: %d has no life, though %v follow", seed, x.Number, live)
+					}
+				} else if k < 0 || k >= len(live) || x.Number != live[k] || x.Key != all[x.Number-1].key || x.Age != x.Life-(all[x.Number-1].until-now) {
+					t.Fatalf("seed %d: %+v where number %d of %v is expected", seed, x, k, live)
+				}
+				if x.Prev != at {
+					t.Fatalf("seed %d: %+v after %d", seed, x, at)
+				}
+				for number := at + 1; number < x.Number; number++ {
+					if gone[number] && all[number-1].until > now && number > x.Short && !slices.ContainsFunc(all[number:], func(p plain) bool { return p.key == all[number-1].key }) {
+						t.Fatalf("seed %d: %d was evicted, and %+v does not say so", seed, number, x)
+					}
+				}
+				at, k = x.Number, k+1
+			}
+			if at != uint64(len(all)) {
+				t.Fatalf("seed %d: at %d in the end, of %d", seed, at, len(all))
+			}
+		}
+	}
+}
+
+// Wants that cannot be met are refused and counted, and do not keep others from being met.
+func TestWantsRefused(t *testing.T) {
+	n := New(three("a", 1))
+	publish(t, n, 0, "x")
+	want := func(v Vector) []Message {
+		out, fresh := n.Receive(0, &Message{Kind: Want, From: "b", To: "a", Vector: v})
+		same(t, "fresh", len(fresh), 0)
+		return out
+	}
+	same(t, "ahead", len(want(Vector{{"a", 1, 2}})), 0)
+	same(t, "of an unknown epoch", len(want(Vector{{"a", 2, 0}})), 0)
+	same(t, "of an unknown origin", len(want(Vector{{"x", 1, 0}})), 0)
+	same(t, "empty", len(want(nil)), 0)
+	same(t, "counts", n.Counts(), Counts{Published: 1, Ahead: 2, Strange: 1, Entries: 1, Bytes: n.Counts().Bytes})
+	long := make(Vector, mostWanted+1)
+	for i := range long {
+		long[i] = Position{"a", uint64(i + 1), 0}
+	}
+	same(t, "too long", len(want(long)), 0)
+	same(t, "strange", n.Counts().Strange, 2)
+	out := want(Vector{{"a", 1, 0}, {"a", 7, 4}, {"x", 1, 0}})
+	if len(out) != 1 || !reflect.DeepEqual(out[0].Vector, Vector{{"a", 1, 1}}) || len(out[0].Notes) != 1 {
+		t.Errorf("answered with %+v", out)
+	}
+	out = want(Vector{{"a", 1, 1}})
+	if len(out) != 1 || len(out[0].Vector) != 1 || out[0].Notes != nil {
+		t.Errorf("one that has all is answered with %+v", out)
+	}
+}
+
+// Messages of no sense are counted, and change nothing.
+func TestStrangeMessages(t *testing.T) {
+	n := New(three("a", 3))
+	publish(t, n, 0, "x")
+	before := n.Vector()
+	for i, m := range []Message{
+		{Kind: Have, From: "x", To: "a"},
+		{Kind: Have, From: "b", To: "c"},
+		{Kind: Have, From: "a", To: "a"},
+		{Kind: Tell + 1, From: "b", To: "a"},
+		{Kind: Have, From: "b", To: "a", Vector: Vector{{"c", 1, 1}, {"b", 1, 1}}},
+		{Kind: Have, From: "b", To: "a", Vector: make(Vector, MostPositions+1)},
+		{Kind: Tell, From: "b", To: "a", Notes: make([]Note, MostNotes+1)},
+		{Kind: Have, From: "b", To: "a", Vector: Vector{{"x", 1, 1}}},
+		{Kind: Tell, From: "b", To: "a", Vector: Vector{{"x", 1, 1}}},
+		{Kind: Tell, From: "b", To: "a", Notes: []Note{note("x", 1, 0, 1)}},
+		{Kind: Tell, From: "b", To: "a", Notes: []Note{note("a", 3, 1, 2)}}, // it has published no such
+		{Kind: Tell, From: "b", To: "a", Notes: []Note{note("b", 0, 0, 1)}},
+	} {
+		out, fresh := n.Receive(0, &m)
+		if len(out)+len(fresh) != 0 || n.Counts().Strange != i+1 {
+			t.Errorf("message %d: %d counted, %v, %v", i, n.Counts().Strange, out, fresh)
+		}
+	}
+	same(t, "vector", n.Vector(), before)
+	_, fresh := n.Receive(0, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{note("a", 3, 0, 1)}})
+	same(t, "its own", len(fresh), 0)
+	same(t, "doubled", n.Counts().Doubled, 1)
+	out, _ := n.Receive(0, &Message{Kind: Have, From: "b", To: "a", Vector: Vector{{"a", 3, 7}}})
+	same(t, "asked for its own", len(out), 0)
+}
+
+// Who lags asks the origin first, then another, one at a time, until it has what is missing.
+func TestAskingOneAfterAnother(t *testing.T) {
+	a := New(three("a", 1))
+	have := func(now time.Duration, from string, v Vector) (out []Message) {
+		out, _ = a.Receive(now, &Message{Kind: Have, From: from, To: "a", Vector: v})
+		return out
+	}
+	v := Vector{{"b", 1, 2}}
+	same(t, "asked", to(t, "c", have(0, "c", v)).Vector, Vector{{"b", 1, 0}})
+	same(t, "asked at once again", len(have(0, "b", v))+len(a.Tick(0)), 2) // its own Have to b and c
+	var asked []string
+	for now := beat / 10; now < 7*beat; now += beat / 10 {
+		var out []Message
+		if now%beat == 0 {
+			out = append(have(now, "b", v), have(now, "c", v)...)
+		}
+		for _, m := range append(out, a.Tick(now)...) {
+			if m.Kind == Want {
+				same(t, "wanted", m.Vector, Vector{{"b", 1, 0}})
+				asked = append(asked, fmt.Sprint(m.To, now))
+			}
+		}
+	}
+	same(t, "asked", asked, []string{fmt.Sprint("b", 2*beat), fmt.Sprint("c", 4*beat), fmt.Sprint("b", 6*beat)})
+	same(t, "count", a.Counts().Asked, 4)
+
+	// Those that fell silent are not asked any more.
+	for now := 7 * beat; now < 20*beat; now += beat / 10 {
+		for _, m := range a.Tick(now) {
+			if m.Kind == Want && now > 7*beat+(claimsBeats+1)*beat {
+				t.Fatalf("%s is asked at %v, long silent", m.To, now)
+			}
+		}
+	}
+	same(t, "asks kept", len(a.asks)+len(a.claims), 0)
+
+	// An origin that claims so itself is asked first; what came meanwhile is not asked for.
+	a = New(three("a", 1))
+	same(t, "asked", to(t, "b", have(0, "b", v)).Vector, Vector{{"b", 1, 0}})
+	_, fresh := a.Receive(0, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{note("b", 1, 0, 1), note("b", 1, 1, 2)}})
+	same(t, "fresh", len(fresh), 2)
+	same(t, "asked", len(have(3*beat, "c", v)), 0)
+}
+
+// A number from the far future is a gap: asked for now and then, and in nobody's way.
+func TestNumberFromTheFuture(t *testing.T) {
+	a, b := New(three("a", 1)), New(three("b", 1))
+	out, fresh := a.Receive(0, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{note("b", 1, forgery-1, forgery)}})
+	same(t, "fresh", len(fresh), 0)
+	same(t, "gaps", a.Counts().Gaps, 1)
+	same(t, "asked", to(t, "b", out).Vector, Vector{{"b", 1, 0}})
+	now := time.Duration(0)
+	for i := range 200 {
+		now += beat / 10
+		told := publish(t, b, now, fmt.Sprint("k", i))
+		a.Receive(now, to(t, "a", told))
+		_, more := a.Receive(now, &Message{Kind: Tell, From: "b", To: "a", Notes: []Note{note("b", 1, forgery-1, forgery)}})
+		same(t, "fresh", len(more), 0)
+		a.Receive(now, &Message{Kind: Have, From: "b", To: "a", Vector: Vector{{"b", 1, forgery}, {"b", 2, forgery}}})
+		// what a third has is asked for all the same
+		m, _ := a.Receive(now, &Message{Kind: Have, From: "c", To: "a", Vector: Vector{{"c", 1, uint64(i + 1)}}})
+		if wanted := to(t, "c", m).Vector; wanted.At("c", 1) != uint64(i) {
+			t.Fatalf("wanted of c: %v at %d", wanted, i)
+		}
+		a.Receive(now, &Message{Kind: Tell, From: "c", To: "a", Notes: []Note{note("c", 1, uint64(i), uint64(i+1))}, Vector: Vector{{"c", 1, uint64(i + 1)}}})
+		a.Tick(now)
+	}
+	same(t, "vector", a.Vector(), Vector{{"b", 1, 200}, {"c", 1, 200}})
+	if asked := a.Counts().Asked; asked > 200+2*(200/(10*askBeats)+2) {
+		t.Errorf("asked %d times", asked)
+	}
+	// Claims of ever other epochs are not kept for ever either.
+	many := New(three("a", 1))
+	for i := range uint64(3000) {
+		many.Receive(0, &Message{Kind: Have, From: "b", To: "a", Vector: Vector{{"b", 2*i + 1, 1}, {"b", 2*i + 2, 1}}})
+	}
+	if len(many.asks) > mostAsks {
+		t.Errorf("%d epochs asked for at once", len(many.asks))
+	}
+	var v Vector
+	for i := range uint64(100) {
+		v = append(v, Position{"b", i + 1, 1})
+	}
+	many.Receive(0, &Message{Kind: Have, From: "b", To: "a", Vector: v})
+	same(t, "claims kept", len(many.claims["b"].list), logEpochs)
+}
+
+// The purge notes of an hour fit a log as it is by default, and go to a control machine that begins with nothing in pieces
+// that are bounded, asked for again until it has all; and to a director.
+func TestPurgeNotesOfAnHour(t *testing.T) {
+	const count = 15480
+	a := New(bench(0))
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	fill(t, a, count)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	x := a.Counts()
+	same(t, "kept", x.Entries, count)
+	same(t, "evicted", x.Evicted, 0)
+	if x.Bytes > defaultBytes/2 || int(after.HeapAlloc)-int(before.HeapAlloc) > 2*x.Bytes {
+		t.Errorf("%d bytes are counted, %d taken, of %d", x.Bytes, int(after.HeapAlloc)-int(before.HeapAlloc), defaultBytes)
+	}
+	c := bench(1)
+	c.Epoch = 2
+	b := New(c)
+	queue, wants, fresh := []Message{{Kind: Have, From: "c0", To: "c1", Vector: a.Vector()}}, 0, 0
+	for len(queue) > 0 {
+		m := queue[0]
+		queue = queue[1:]
+		if raw := AppendMessage(nil, &m); len(raw) > mostPiece+200 {
+			t.Fatalf("a message of %d bytes", len(raw))
+		}
+		n := a
+		if m.To == "c1" {
+			n = b
+		}
+		out, list := n.Receive(0, &m)
+		if fresh += len(list); m.Kind == Want {
+			wants++
+			if len(out) > mostPieces {
+				t.Fatalf("an answer of %d pieces", len(out))
+			}
+		}
+		queue = append(queue, out...)
+	}
+	same(t, "taken", fresh, count)
+	same(t, "vector", b.Vector(), a.Vector())
+	if least := x.Bytes / 3 / (mostPiece * mostPieces); wants < least || wants > 4*least+2 {
+		t.Errorf("asked %d times", wants)
+	}
+	r, cursor := NewReader(c.Origins), b.Subscribe(nil)
+	for {
+		list := b.Next(time.Minute, cursor, 16<<10)
+		if len(list) == 0 {
+			break
+		}
+		for i := range list {
+			same(t, "verdict", r.Take(&list[i]), Taken)
+		}
+	}
+	same(t, "taken", r.Counts(), ReaderCounts{Taken: count})
+	same(t, "vector", r.Vector(), a.Vector())
+}
+
+// A node of one tells nobody, and keeps its notes.
+func TestAlone(t *testing.T) {
+	n := New(Config{Me: "a", Origins: []string{"a"}, Epoch: 1})
+	same(t, "told", len(publish(t, n, 0, "x")), 0)
+	same(t, "ticked", len(n.Tick(0)), 0)
+	same(t, "kept", numbers(n.Next(0, n.Subscribe(nil), 0)), []string{"a 1:(0,1]"})
+}
--- /dev/null
+++ b/stream/reader_test.go
@@ -0,0 +1,127 @@
+package stream
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+func note(origin string, epoch, prev, number uint64) Note {
+	return Note{Origin: origin, Epoch: epoch, Number: number, Prev: prev, Key: fmt.Sprint("k", number), Life: time.Minute}
+}
+
+// with is a note changed.
+func (n Note) with(change func(*Note)) *Note {
+	change(&n)
+	return &n
+}
+
+func TestReaderVerdicts(t *testing.T) {
+	r := NewReader([]string{"a", "b"})
+	for i, step := range []struct {
+		n    Note
+		want Verdict
+	}{
+		{note("a", 1, 0, 1), Taken},
+		{note("a", 1, 0, 1), Doubled},
+		{note("a", 1, 2, 3), Gap},
+		{note("a", 1, 0, 3), Taken}, // 2 was superseded or expired
+		{note("a", 1, 1, 2), Doubled},
+		{*note("a", 1, 3, 4).with(func(n *Note) { n.Age = n.Life }), Expired},
+		{*note("a", 1, 4, 9).with(func(n *Note) { n.Life = 0 }), Expired},
+		{note("a", 1, 9, 10), Taken},
+		{note("a", 3, 0, 1), Taken}, // another epoch
+		{note("a", 2, 0, 7), Taken}, // one before it
+		{note("b", 1, 1, 2), Gap},
+		{note("b", 1, 0, 2), Taken},
+		{*note("b", 1, 2, 9).with(func(n *Note) { n.Short = 5 }), Taken},
+		{*note("b", 1, 2, 12).with(func(n *Note) { n.Short = 8 }), Taken}, // what was lost lies behind
+		{note("c", 1, 0, 1), Strange},
+		{note("a", 0, 0, 1), Strange},
+		{note("a", 4, 0, 0), Strange},
+		{note("a", 4, 2, 2), Strange},
+		{*note("a", 4, 2, 4).with(func(n *Note) { n.Short = 2 }), Strange},
+		{*note("a", 4, 2, 4).with(func(n *Note) { n.Short = 5 }), Strange},
+		{*note("a", 4, 0, 1).with(func(n *Note) { n.Age = -1 }), Strange},
+		{*note("a", 4, 0, 1).with(func(n *Note) { n.Life = -1 }), Strange},
+		{*note("a", 4, 0, 1).with(func(n *Note) { n.Life = MostLife + 1 }), Strange},
+		{*note("a", 4, 0, 1).with(func(n *Note) { n.Key = strings.Repeat("x", MostKey+1) }), Strange},
+		{*note("a", 4, 0, 1).with(func(n *Note) { n.Payload = make([]byte, MostPayload+1) }), Strange},
+	} {
+		if got := r.Take(&step.n); got != step.want {
+			t.Errorf("note %d, %+v: %v, %v is expected", i, step.n, got, step.want)
+		}
+	}
+	if want := (Vector{{"a", 1, 10}, {"a", 2, 7}, {"a", 3, 1}, {"b", 1, 12}}); !reflect.DeepEqual(r.Vector(), want) {
+		t.Errorf("at %v, %v is expected", r.Vector(), want)
+	}
+	if want := (ReaderCounts{Taken: 8, Doubled: 2, Gaps: 2, Expired: 2, Strange: 11, Short: 1}); r.Counts() != want {
+		t.Errorf("counted %+v, %+v is expected", r.Counts(), want)
+	}
+}
+
+func TestReaderKnowsSoManyEpochs(t *testing.T) {
+	r := NewReader([]string{"a"})
+	for e := range uint64(readerEpochs) {
+		if n := note("a", 2*e+10, 0, 5); r.Take(&n) != Taken {
+			t.Fatalf("epoch %d was not taken", n.Epoch)
+		}
+	}
+	for _, step := range []struct {
+		epoch uint64
+		want  Verdict
+	}{
+		{9, Old},      // room would be made by it alone
+		{11, Taken},   // puts out 10
+		{10, Old},     // which would be taken a second time
+		{11, Doubled}, // still known
+		{12, Doubled},
+		{1000, Taken}, // puts out 11
+		{11, Old},
+		{12, Doubled},
+	} {
+		if n := note("a", step.epoch, 0, 5); r.Take(&n) != step.want {
+			t.Errorf("epoch %d was not %v", step.epoch, step.want)
+		}
+	}
+	if v := r.Vector(); len(v) != readerEpochs {
+		t.Errorf("%d positions of one origin, %d are expected", len(v), readerEpochs)
+	}
+	if r.Counts().Old != 3 {
+		t.Errorf("%d old ones were counted", r.Counts().Old)
+	}
+}
+
+func TestReaderWithAnotherList(t *testing.T) {
+	r := NewReader([]string{"a", "b"})
+	for _, origin := range []string{"a", "b"} {
+		if n := note(origin, 1, 0, 4); r.Take(&n) != Taken {
+			t.Fatal("not taken")
+		}
+	}
+	r.List([]string{"b", "c"})
+	if n := note("a", 1, 4, 5); r.Take(&n) != Strange {
+		t.Error("one that is not on the list was taken")
+	}
+	if want := (Vector{{"b", 1, 4}}); !reflect.DeepEqual(r.Vector(), want) {
+		t.Errorf("at %v, %v is expected", r.Vector(), want)
+	}
+	r.List([]string{"a", "b"})
+	if n := note("a", 1, 0, 4); r.Take(&n) != Doubled {
+		t.Error("one that came back on the list was taken twice")
+	}
+	var many []string
+	for i := range MostOrigins - 1 {
+		many = append(many, fmt.Sprint("m", i))
+	}
+	r.List(many)
+	if len(r.ledger) != 1 || r.ledger["b"] == nil {
+		t.Errorf("positions of %d origins that are gone are kept with %d on the list, that of one, b, is expected", len(r.ledger), len(many))
+	}
+	r.List(append(many, "m", "n"))
+	if r.listed["n"] || !r.listed["m"] || len(r.ledger) != 0 {
+		t.Errorf("%d origins are followed, %d are the most", len(r.listed), MostOrigins)
+	}
+}
