--- /dev/null
+++ b/director/bench_test.go
@@ -0,0 +1,155 @@
+package director
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"indigochute.example/indigochute/control"
+	"indigochute.example/indigochute/feed"
+)
+
+// resting is a director that was told of so many caches and has no sockets.
+func resting(b *testing.B, machines int) (*Director, []feed.Machine) {
+	parent := `{"host":"s-000000aa","dial":"127.0.0.1:1","site":"here","class":"mid","health":"SERVING"}`
+	conf := configured(b, []string{parent}, "127.0.0.1:1", nil)
+	log := logrus.New()
+	logged := &lines{}
+	log.SetOutput(logged)
+	b.Cleanup(func() { // a panic in the module is a line of the log and no more
+		if logged.text.Len() > 0 {
+			b.Error(logged.text.String())
+		}
+	})
+	d := New(conf, logrus.NewEntry(log))
+	list := []feed.Machine{{ID: 0xaa, Addr: netip.MustParseAddrPort("127.0.0.1:1"), State: control.Ready, Kind: 1}}
+	for i := range machines {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8443)
+		list = append(list, feed.Machine{ID: uint32(0x1000 + i), Addr: addr, State: control.Ready, BornUnix: 1764576000000})
+	}
+	hears(b, d, feed.Event{Machines: list, Whole: true})
+	return d, list
+}
+
+// hears has the director take the event as its next one.
+func hears(b *testing.B, d *Director, e feed.Event) {
+	e.Number = d.last + 1
+	if err := d.hear(0, e); err != nil || d.last != e.Number {
+		b.Fatal(d.last, err)
+	}
+}
+
+var lists = []int{20, 70, 140, 280}
+
+// BenchmarkScaleApplyList applies the whole list of machines, of which one has changed, to connections and module.
+func BenchmarkScaleApplyList(b *testing.B) {
+	for _, n := range lists {
+		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
+			d, list := resting(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				list[n].State = control.Ready + control.Draining - list[n].State
+				hears(b, d, feed.Event{Machines: list, Whole: true})
+			}
+			if len(d.nodes.byID) != n+1 || d.nodes.byID[list[n].ID].ready != (list[n].State == control.Ready) {
+				b.Fatalf("%d machines are known", len(d.nodes.byID))
+			}
+		})
+	}
+}
+
+// BenchmarkScaleApplyChange applies the event of one machine that changed, where so many are known.
+func BenchmarkScaleApplyChange(b *testing.B) {
+	for _, n := range lists {
+		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
+			d, list := resting(b, n)
+			change := list[n : n+1]
+			b.ReportAllocs()
+			for b.Loop() {
+				change[0].State = control.Ready + control.Draining - change[0].State
+				hears(b, d, feed.Event{Machines: change})
+			}
+			if len(d.nodes.byID) != n+1 || d.nodes.byID[change[0].ID].ready != (change[0].State == control.Ready) {
+				b.Fatalf("%d machines are known", len(d.nodes.byID))
+			}
+		})
+	}
+}
+
+// BenchmarkScaleApplyPurge applies one purge where so many objects were purged before.
+func BenchmarkScaleApplyPurge(b *testing.B) {
+	for _, n := range []int{100, 500, 1000, 5000, 10000} {
+		b.Run(fmt.Sprintf("purges=%d", n), func(b *testing.B) {
+			d, _ := resting(b, 20)
+			at := time.Now().UnixMilli()
+			for i := range n {
+				hears(b, d, feed.Event{Purge: &feed.Purge{Obj: uint64(i + 1), AtUnix: at}})
+			}
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				hears(b, d, feed.Event{Purge: &feed.Purge{Obj: uint64(i%n + 1), AtUnix: at + int64(i)}})
+			}
+		})
+	}
+}
+
+// held is the bytes of heap and stacks in use after a collection.
+func held() int64 {
+	runtime.GC()
+	runtime.GC() // what the first one only put aside, such as pools
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkScaleClients is the memory of so many connections of clients that were answered once and rest, heap and stacks; the
+// clients' own ends, which are in the same process, take part of it. ns/op is connecting, that answer and closing.
+func BenchmarkScaleClients(b *testing.B) {
+	for _, n := range []int{50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("clients=%d", n), func(b *testing.B) {
+			w := startWith(b, 1, []string{`"sockets":64`, `"sockets":4096`}, nil)
+			addr := w.nc.RemoteAddr().String()
+			w.nc.Close()
+			count := func() int { return w.d.clients.each(func(*client) {}) }
+			w.until("left", func() bool { return count() == 0 })
+			bytes, times, answer := int64(0), 0, make([]byte, 64)
+			for b.Loop() {
+				before := held()
+				all := make([]net.Conn, n)
+				for i := range all {
+					var err error
+					if all[i], err = net.Dial("tcp", addr); err != nil {
+						b.Fatal(err)
+					}
+				}
+				for _, nc := range all {
+					io.WriteString(nc, "\x94\x00\x09"+str("alive")+"\x91\x80")
+				}
+				for _, nc := range all {
+					nc.SetReadDeadline(time.Now().Add(patience))
+					if _, err := nc.Read(answer); err != nil {
+						b.Fatal(err)
+					}
+				}
+				if held := count(); held != n {
+					b.Fatalf("%d connections are held", held)
+				}
+				bytes += held() - before
+				times++
+				for _, nc := range all {
+					nc.Close()
+				}
+				w.until("left", func() bool { return count() == 0 })
+			}
+			b.ReportMetric(float64(bytes)/float64(times), "held-B")
+		})
+	}
+}
--- a/director/helpers_test.go
+++ b/director/helpers_test.go
@@ -29,7 +29,7 @@
 	node                   int
 }
 
-func (a asked) reply(t *testing.T, word, fields, body string) {
+func (a asked) reply(t testing.TB, word, fields, body string) {
 	t.Helper()
 	b := "*4\r\n"
 	for _, s := range []string{a.id, word, fields, body} {
@@ -42,7 +42,7 @@
 
 // world is a director between stand-ins on loopback: caches that do as a test says, and a client.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	d       *Director
 	asks    chan asked
 	nc      net.Conn
@@ -59,10 +59,10 @@
  {"name":"log","aim":%[1]d,"deadline":%[1]d,"idempotency":"idempotency_key","group":"all","window":%[1]d},
  {"name":"order","aim":%[1]d,"deadline":%[1]d,"idempotency":"non_idempotent","group":"all"}]`
 
-func start(t *testing.T, caches int) *world { return startWith(t, caches, nil, nil) }
+func start(t testing.TB, caches int) *world { return startWith(t, caches, nil, nil) }
 
 // startWith is start with words of the configuration replaced, and the director prepared before it serves.
-func startWith(t *testing.T, caches int, words []string, prepare func(*world)) *world {
+func startWith(t testing.TB, caches int, words []string, prepare func(*world)) *world {
 	w := &world{t: t, asks: make(chan asked, 100), served: make(chan struct{}), journal: listen(t)}
 	var hosts []string
 	for i := range caches {
@@ -73,18 +73,7 @@
 			i+1, l.Addr()))
 	}
 	hosts = append(hosts, `{"host":"s-000000aa","dial":"127.0.0.1:1","site":"here","class":"mid","health":"SERVING"}`)
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:1","seed":"0000000000000007","journal":%[3]q,
-		"limits":{"cores":1,"memory_mb":64,"sockets":64},
-		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"whole":true,"hosts":[%[2]s]}}]},
-		"settings":{"classes":`+vhosts+`,"instances":1,"zone":0,"zones":["here"],"models":["box","mid"],
-		"domain":{"midKind":1,"sourceKind":9,"passOn":[false,true,true],"hubOf":[0],"zoneBalancers":[1]},
-		"limits":{"sendCap":4,"cancel":true,"retryAfter":true,"maxRetryAfter":1000000,"maxStreams":32},
-		"rules":{"fallMultiple":3,"tipAfter":3000000,"rampTime":9000000,"startCapacity":0.2}}}`,
-		patience.Microseconds(), strings.Join(hosts, ","), w.journal.Addr())
-	conf, err := config.Parse([]byte(strings.NewReplacer(words...).Replace(text)), "", "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	conf := configured(t, hosts, w.journal.Addr().String(), words)
 	log := logrus.New()
 	log.SetOutput(&w.logged)
 	w.d = New(conf, logrus.NewEntry(log))
@@ -104,7 +93,24 @@
 	return w
 }
 
-func listen(t *testing.T) net.Listener {
+// configured is the configuration of a director that knows these machines, with words of it replaced.
+func configured(t testing.TB, hosts []string, journal string, words []string) *config.Config {
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:1","seed":"0000000000000007","journal":%[3]q,
+		"limits":{"cores":1,"memory_mb":64,"sockets":64},
+		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"whole":true,"hosts":[%[2]s]}}]},
+		"settings":{"classes":`+vhosts+`,"instances":1,"zone":0,"zones":["here"],"models":["box","mid"],
+		"domain":{"midKind":1,"sourceKind":9,"passOn":[false,true,true],"hubOf":[0],"zoneBalancers":[1]},
+		"limits":{"sendCap":4,"cancel":true,"retryAfter":true,"maxRetryAfter":1000000,"maxStreams":32},
+		"rules":{"fallMultiple":3,"tipAfter":3000000,"rampTime":9000000,"startCapacity":0.2}}}`,
+		patience.Microseconds(), strings.Join(hosts, ","), journal)
+	conf, err := config.Parse([]byte(strings.NewReplacer(words...).Replace(text)), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conf
+}
+
+func listen(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -113,7 +119,7 @@
 	return l
 }
 
-func dial(t *testing.T, addr string) net.Conn {
+func dial(t testing.TB, addr string) net.Conn {
 	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/feed/bench_test.go
@@ -0,0 +1,101 @@
+package feed
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"indigochute.example/indigochute/control"
+)
+
+// list is machines as a service of that many would list them.
+func list(count int) []Machine {
+	all := make([]Machine, count)
+	for i := range all {
+		all[i] = Machine{ID: uint32(i + 1), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8443),
+			State: control.Ready, Zone: i % 18, Kind: i % 3, Cell: i % 5, Size: 4, BornUnix: 1764576000000 + int64(i)}
+	}
+	return all
+}
+
+// readAll reads so many events off frames, again and again, and reports the bytes of the frames.
+func readAll(b *testing.B, raw []byte, events int) {
+	b.ReportAllocs()
+	in := bytes.NewReader(raw)
+	for b.Loop() {
+		in.Reset(raw)
+		for range events {
+			if _, err := Read(in); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if in.Len() > 0 {
+			b.Fatalf("%d bytes are left", in.Len())
+		}
+	}
+	b.ReportMetric(float64(len(raw)), "B/msg")
+}
+
+// BenchmarkScaleFeedList reads one event that is the whole list of machines.
+func BenchmarkScaleFeedList(b *testing.B) {
+	for _, n := range []int{20, 70, 140, 280} {
+		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
+			readAll(b, AppendEvent(nil, &Event{Number: 1, Machines: list(n), Whole: true}), 1)
+		})
+	}
+}
+
+// BenchmarkScaleFeedChanges reads an event for each of the machines that changed by itself.
+func BenchmarkScaleFeedChanges(b *testing.B) {
+	for _, n := range []int{20, 70, 140, 280} {
+		b.Run(fmt.Sprintf("changes=%d", n), func(b *testing.B) {
+			var raw []byte
+			for i, m := range list(n) {
+				raw = AppendEvent(raw, &Event{Number: uint64(i + 1), Machines: []Machine{m}})
+			}
+			readAll(b, raw, n)
+		})
+	}
+}
+
+// BenchmarkScaleFeedPurges reads an event for each purge, every second one that of a group.
+func BenchmarkScaleFeedPurges(b *testing.B) {
+	for _, n := range []int{100, 500, 1000, 5000, 10000} {
+		b.Run(fmt.Sprintf("purges=%d", n), func(b *testing.B) {
+			var raw []byte
+			for i := range n {
+				p := &Purge{Obj: uint64(i + 1), AtUnix: 1764576000000}
+				if i%2 == 1 {
+					p.Obj, p.Group = 0, uint32(i)
+				}
+				raw = AppendEvent(raw, &Event{Number: uint64(i + 1), Purge: p})
+			}
+			readAll(b, raw, n)
+		})
+	}
+}
+
+// BenchmarkScaleFeedKnown reads the whole list of machines as the configuration holds it.
+func BenchmarkScaleFeedKnown(b *testing.B) {
+	zones, kinds := make([]string, 18), []string{"box", "mid", "root"}
+	for i := range zones {
+		zones[i] = fmt.Sprintf("zone%d", i)
+	}
+	for _, n := range []int{20, 70, 140, 280} {
+		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
+			raw, err := json.Marshal(KnownJSON(1, list(n), zones, kinds))
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, events, err := Known(raw, zones, kinds); err != nil || len(events) != 1 || len(events[0].Machines) != n {
+					b.Fatal(len(events), err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "B/msg")
+		})
+	}
+}
