Slopes: read what the go command really prints; clients' memory without first uses

Cause: a parent of a failed benchmark was told as one more, and SKIP lines were looked for that go test never prints of benchmarks. The memory of resting clients held what is made once and used again, so that the first round differed from the next.

Change: a test runs the real go command on a made-up module (a size that fails, one that logs, a package that cannot be set up). BenchmarkScaleClients makes one round before those that count, and waits until no task of a connection is under way.

--- a/cmd/indigochute/slopes.go
+++ b/cmd/indigochute/slopes.go
@@ -169,8 +169,8 @@
 			if x.Shape == slopes.Constant {
 				shape += ", spread " + percent(x.Spread)
 			}
-			copy(row[3:7], []any{figure(l.Slope) + " each", figure(dust(l.Intercept, x.Measured)), percent(l.Farthest), figure(x.Foretold)})
-			row[8] = shape
+			row[3], row[4] = figure(l.Slope)+" each", figure(dust(l.Intercept, x.Measured))
+			row[5], row[6], row[8] = percent(l.Farthest), figure(x.Foretold), shape
 			row[9] = fmt.Sprintf("%s (%+.1f%%)", x.Verdict, 100*dust(x.Error, 1))
 		}
 		t.AppendRow(row)
--- a/cmd/indigochute/slopes_test.go
+++ b/cmd/indigochute/slopes_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -134,6 +135,55 @@
 	}
 }
 
+// What the go command itself prints is read: a size that fails, one that says something, a package that does not build and
+// one without benchmarks.
+func TestSlopesOfGo(t *testing.T) {
+	dir := t.TempDir()
+	const bench = `package a
+import ("fmt"; "testing")
+func BenchmarkScaleA(b *testing.B) {
+	for _, n := range []int{10, 20, 40, 80} {
+		b.Run(fmt.Sprintf("things=%d", n), func(b *testing.B) {
+			switch n {
+			case 20:
+				b.Fatal("no 20")
+			case 80:
+				b.Log("80 is told of")
+			}
+			for b.Loop() {
+			}
+			b.ReportMetric(float64(3*n), "B/msg")
+		})
+	}
+}
+func BenchmarkOther(b *testing.B) { b.Fatal("not asked for") }
+`
+	for name, text := range map[string]string{"go.mod": "module " + module + "\n\ngo 1.26\n", "a/a_test.go": bench,
+		"b/b.go": "package b\n", "b/b_test.go": "package b\nnothing\n", "c/c_test.go": "package c\n"} {
+		if err := os.MkdirAll(filepath.Dir(filepath.Join(dir, name)), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Chdir(dir)
+	code, out, errs := call("slopes", "--json", "--benchtime", "5x", "--count", "2")
+	var g grown
+	if err := json.Unmarshal([]byte(out), &g); err != nil || code != 1 || len(g.Figures) != 2 || len(g.Broken) != 2 {
+		t.Fatalf("%d %v: %s%s", code, err, out, errs)
+	}
+	slices.Sort(g.Broken) // which package comes first is go's
+	if g.Broken[0] != module+"/a: BenchmarkScaleA/things=20" || g.Broken[1] != module+"/b [setup failed]" {
+		t.Errorf("broken: %q", g.Broken)
+	}
+	f := g.Figures[1]
+	if f.Unit != "B/msg" || f.Package != module+"/a" || len(f.Points) != 3 || f.Line.Slope != 3 || f.Measured != 240 ||
+		f.Verdict != slopes.Straight || f.Points[1] != (slopes.Point{Size: 40, Median: 120, Least: 120, Most: 120, Runs: 2}) {
+		t.Errorf("%+v %+v", f, f.Line)
+	}
+}
+
 // Where the time is up what was printed by then is kept, and go test has ended with its children.
 func TestSlopesEndsItsChildren(t *testing.T) {
 	pretend(t, "sleep 300 &\necho $! >child.part\nmv child.part child\necho BenchmarkScaleX/n=1 1 1 ns/op\nwait\n")
--- a/director/bench_test.go
+++ b/director/bench_test.go
@@ -113,25 +113,23 @@
 // BenchmarkScaleClients is the memory of so many connections of clients that were answered once and rest, heap and stacks; the
 // clients' own ends, which are in the same process, take part of it. ns/op is connecting, that answer and closing.
 func BenchmarkScaleClients(b *testing.B) {
+	const spare = 3 // tasks of the feed, which come and go
 	for _, n := range []int{50, 100, 200, 400} {
 		b.Run(fmt.Sprintf("clients=%d", n), func(b *testing.B) {
 			w := startWith(b, 1, []string{`"sockets":64`, `"sockets":4096`}, nil)
 			addr := w.nc.RemoteAddr().String()
-			w.nc.Close()
 			count := func() int { return w.d.clients.each(func(*client) {}) }
+			w.nc.Close()
 			w.until("left", func() bool { return count() == 0 })
-			bytes, times, answer := int64(0), 0, make([]byte, 64)
-			for b.Loop() {
-				before := held()
-				all := make([]net.Conn, n)
+			round := func() int64 {
+				tasks, before := runtime.NumGoroutine(), held()
+				all, answer := make([]net.Conn, n), make([]byte, 64)
 				for i := range all {
 					var err error
 					if all[i], err = net.Dial("tcp", addr); err != nil {
 						b.Fatal(err)
 					}
-				}
-				for _, nc := range all {
-					io.WriteString(nc, "\x94\x00\x09"+str("alive")+"\x91\x80")
+					io.WriteString(all[i], "\x94\x00\x09"+str("alive")+"\x91\x80")
 				}
 				for _, nc := range all {
 					nc.SetReadDeadline(time.Now().Add(patience))
@@ -142,12 +140,19 @@
 				if held := count(); held != n {
 					b.Fatalf("%d connections are held", held)
 				}
-				bytes += held() - before
-				times++
+				w.until("at rest", func() bool { return runtime.NumGoroutine() <= tasks+n+spare })
+				took := held() - before
 				for _, nc := range all {
 					nc.Close()
 				}
-				w.until("left", func() bool { return count() == 0 })
+				w.until("left", func() bool { return count() == 0 && runtime.NumGoroutine() <= tasks+spare })
+				return took
+			}
+			round() // what is made once and used again
+			bytes, times := int64(0), 0
+			for b.Loop() {
+				bytes += round()
+				times++
 			}
 			b.ReportMetric(float64(bytes)/float64(times), "held-B")
 		})
--- a/lab/slopes/slopes.go
+++ b/lab/slopes/slopes.go
@@ -41,7 +41,8 @@
 )
 
 // Parse reads the output of go test. Lines of other benchmarks and of anything else are passed over. MB/s is as well: it is
-// the inverse of ns/op, and no figure that grows with a size.
+// the inverse of ns/op, and no figure that grows with a size. Of a benchmark that skips itself go test prints nothing: it is
+// not known here.
 func Parse(text string) Output {
 	var o Output
 	pkg := ""
@@ -51,8 +52,11 @@
 		switch {
 		case len(words) == 2 && words[0] == "pkg:":
 			pkg = words[1]
-		case len(words) >= 3 && words[0] == "---" && (words[1] == "FAIL:" || words[1] == "SKIP:"):
-			o.Broken = append(o.Broken, fmt.Sprintf("%s: %s: %s", pkg, words[2], strings.ToLower(strings.Trim(words[1], ":"))))
+		case len(words) >= 3 && words[0] == "---" && words[1] == "FAIL:":
+			failed := pkg + ": " + words[2]
+			if last := len(o.Broken) - 1; last < 0 || !strings.HasPrefix(o.Broken[last], failed+"/") { // else it is that one's parent
+				o.Broken = append(o.Broken, failed)
+			}
 			named[pkg] = true
 		case len(words) >= 2 && words[0] == "FAIL" && !named[words[1]]:
 			o.Broken = append(o.Broken, strings.Join(words[1:], " "))
--- a/lab/slopes/slopes_test.go
+++ b/lab/slopes/slopes_test.go
@@ -167,11 +167,12 @@
 func TestMissing(t *testing.T) {
 	text := output("ScaleX", func(n float64) float64 { return 7 * n })
 	text = strings.Replace(text, "BenchmarkScaleX/directors=145-8 \t     100\t  1015 ns/op\n",
-		"--- FAIL: BenchmarkScaleX/directors=145-8\n    x_test.go:1: no\n", 1)
-	text = strings.Replace(text, "PASS\nok  \texample/x\t1.2s\n", "FAIL\nexit status 1\nFAIL\texample/x\t1.2s\n", 1) +
+		"--- FAIL: BenchmarkScaleX/directors=145\n    x_test.go:1: no\n", 1)
+	text = strings.Replace(text, "PASS\nok  \texample/x\t1.2s\n",
+		"--- FAIL: BenchmarkScaleX\nFAIL\nexit status 1\nFAIL\texample/x\t1.2s\n", 1) +
 		"FAIL\texample/y [build failed]\nok  \texample/z\t0.1s\n?   \texample/w\t[no test files]\nFAIL\n"
 	o := Parse(text)
-	if got := strings.Join(o.Broken, "; "); got != "example/x: BenchmarkScaleX/directors=145-8: fail; example/y [build failed]" {
+	if got := strings.Join(o.Broken, "; "); got != "example/x: BenchmarkScaleX/directors=145; example/y [build failed]" {
 		t.Errorf("broken: %s", got)
 	}
 	all := Fit(o.Runs)
