--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -70,7 +70,7 @@
 		"after a quiet time": func(seed uint64, at time.Duration) bool { return at >= quiet(seed) },
 		"in bursts":          func(_ uint64, at time.Duration) bool { return at%(4*k.Window) < k.Window/2 },
 	} {
-		for _, many := range []int{1, 5, 20, 30, 100, 300} {
+		for _, many := range []int{1, 5, 20, 30, 100, 300, 580} {
 			for _, calls := range []float64{12, 20, 54} { // two transfers at once are the least that any machine carries
 				for _, load := range []float64{1, 4, 8, math.Inf(1)} {
 					chance := load * calls / (k.Multiple * k.Floor * k.Window.Seconds()) / float64(many) * coldStep.Seconds()
--- /dev/null
+++ b/control/scale_bench_test.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The costs of one director at the operators' plan for two years: 580 directors before 140 caches, 330,000 reqs a second.
+const (
+	planDirectors = 580
+	planCaches    = 140
+	planRate      = 330_000.0 / planDirectors // reqs a second of one director, on average
+	planPurges    = 4.3                       // a second, each heard by every director
+)
+
+// every is the time between two things that come so often a second.
+func every(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
+
+// listedWith is a director whose list names an origin, two parents and some caches, all of them of its location: where they
+// lie at many locations it ranks fewer.
+func listedWith(directors, caches int) *Director {
+	set := settings0()
+	set.Directors, set.Here = directors, directors
+	d := Start(set, nobody{})
+	list := []Listed{{Node: 1, State: Ready, Kind: 2}, {Node: 2, State: Ready, Kind: 1}, {Node: 3, State: Ready, Kind: 1}}
+	for i := range caches {
+		list = append(list, Listed{Node: uint32(10 + i), State: Ready, Zone: 1})
+	}
+	d.List(0, list, true)
+	return d
+}
+
+// BenchmarkScaleDecision is a req from its coming to its answer, with the period's share of diffusion, at the plan's rate. Each
+// is for a part not asked for before, whose machines have to be ranked, two to an object; the table is as full as that makes it.
+func BenchmarkScaleDecision(b *testing.B) {
+	run := func(name string, directors, caches int) {
+		b.Run(name, func(b *testing.B) {
+			d := listedWith(directors, caches)
+			step := every(planRate)
+			now, due, id := time.Duration(0), period, uint32(0)
+			one := func() {
+				id++
+				d.Req(now, Ask{ID: id, Obj: uint64(id / 2), Part: id % 2, Deadline: now + 4*time.Second})
+				d.Outcome(now+5*ms, id, Outcome{Took: 5 * ms, Fill: Hit, Final: true})
+				if now += step; now >= due {
+					d.Timer(now, 0)
+					due += period
+				}
+			}
+			for now < forgetAfter+time.Second { // from here on as many leave the table as come
+				one()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				one()
+			}
+		})
+	}
+	for _, directors := range []int{36, 72, 145, 290, planDirectors} {
+		run(fmt.Sprintf("directors=%d", directors), directors, planCaches)
+	}
+	for _, caches := range []int{20, 70, planCaches, 2 * planCaches} {
+		run(fmt.Sprintf("caches=%d", caches), planDirectors, caches)
+	}
+}
+
+// filledTable is a director at the plan's size with so many objects of one part each in its table, ten of them hot, none of
+// which is ever old enough to be forgotten.
+func filledTable(objects int) (d *Director, hot []*part) {
+	const never = time.Duration(math.MaxInt64 / 2)
+	d = listedWith(planDirectors, planCaches)
+	for i := range objects {
+		o := d.object(uint64(i+1), 0)
+		p := d.part(o, 0, false)
+		o.seen, o.last, p.last = 2, never, never
+		d.order(p)
+		if i%(objects/10) == 0 && len(hot) < 10 {
+			hot = append(hot, p)
+		}
+	}
+	return d, hot
+}
+
+// BenchmarkScaleTableReq is a req for an object in the table, each in turn, from its coming to its answer.
+func BenchmarkScaleTableReq(b *testing.B) {
+	for _, objects := range []int{512, 2048, tableSize} {
+		b.Run(fmt.Sprintf("objects=%d", objects), func(b *testing.B) {
+			d, _ := filledTable(objects)
+			now, id := time.Duration(0), uint32(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				d.Req(now, Ask{ID: id, Obj: uint64(int(id)%objects + 1), Vhost: 1, Deadline: now + 2*time.Second})
+				d.Outcome(now+5*ms, id, Outcome{Took: 5 * ms, Fill: Hit, Final: true})
+				now += every(planRate)
+			}
+			if len(d.table) != objects {
+				b.Fatalf("%d objects in the table, not %d", len(d.table), objects)
+			}
+		})
+	}
+}
+
+// BenchmarkScaleTablePeriod is one period over so many objects, ten of them hot: what is forgotten, measured and shifted.
+func BenchmarkScaleTablePeriod(b *testing.B) {
+	for _, objects := range []int{512, 2048, tableSize} {
+		b.Run(fmt.Sprintf("objects=%d", objects), func(b *testing.B) {
+			d, hot := filledTable(objects)
+			now := time.Duration(0)
+			asks := planRate * period.Seconds()
+			b.ReportAllocs()
+			for b.Loop() {
+				d.asks.Add(now, asks)
+				for _, p := range hot {
+					p.asks.Add(now, asks/10)
+					p.order[0].load.Add(now, asks/20)
+				}
+				d.Timer(now, 0)
+				now += period
+			}
+			away := 0
+			for _, p := range hot {
+				away += len(p.away)
+			}
+			if len(d.table) != objects || away < len(hot) {
+				b.Fatalf("%d objects in the table, not %d; %d shares of hot ones", len(d.table), objects, away)
+			}
+			b.ReportMetric(float64(away)/float64(len(hot)), "shares/hot")
+		})
+	}
+}
+
+// purgedFor is a director that hears purges at the plan's rate and keeps as many in mind, for as long as that takes.
+func purgedFor(kept int) *Director {
+	set := settings0()
+	set.PurgeSettles = time.Duration(float64(kept)/planPurges*float64(time.Second)) - purgeMargin
+	return Start(set, nobody{})
+}
+
+// BenchmarkScalePurges is one second of purges at the plan's rate, with two periods that forget those that have settled,
+// while so many are kept in mind: 30 are where old copies lie about for 6 s, 15,480 where they do for an hour.
+func BenchmarkScalePurges(b *testing.B) {
+	for _, kept := range []int{16, 30, 64, 256, 1024, 4096, 15480} {
+		b.Run(fmt.Sprintf("kept=%d", kept), func(b *testing.B) {
+			now, obj, due := time.Duration(0), uint64(0), 0.0
+			second := func(d *Director) {
+				for range 2 {
+					for due += planPurges / 2; due >= 1; due-- {
+						obj++
+						d.Purge(now, 0, hash(obj), 0)
+					}
+					now += period
+					d.Timer(now, 0)
+				}
+			}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			d := purgedFor(kept)
+			for range 2*int(float64(kept)/planPurges) + 2 { // over twice the time: the map is as large as it gets
+				second(d)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			for b.Loop() {
+				second(d)
+			}
+			if math.Abs(float64(len(d.purged)-kept)) > 2*planPurges {
+				b.Fatalf("%d purges kept, not %d", len(d.purged), kept)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B-kept")
+		})
+	}
+}
