--- a/control/scale_bench_test.go
+++ b/control/scale_bench_test.go
@@ -176,3 +176,42 @@
 		})
 	}
 }
+
+// BenchmarkScaleOut is a req that comes while so many others are out, none of the same object, and the answer to the one that has
+// been out for longest.
+func BenchmarkScaleOut(b *testing.B) {
+	for _, many := range []int{16, 64, 256, 1024, 4096} {
+		b.Run(fmt.Sprintf("out=%d", many), func(b *testing.B) {
+			d := listedWith(planDirectors, 4)
+			d.linkRoom.most = 1e9
+			for _, c := range d.caches {
+				c.room.most = 1e9
+			}
+			now, id := time.Duration(0), uint32(0)
+			ask := func() {
+				id++
+				d.Req(now, Ask{ID: id, Obj: uint64(id%tableSize + 1), Vhost: 1, Deadline: now + time.Hour})
+			}
+			for range tableSize { // all are known from here on
+				ask()
+				d.Outcome(now, id, Outcome{Took: 5 * ms, Fill: Hit, Final: true})
+			}
+			for range many {
+				ask()
+				now += every(planRate)
+			}
+			if len(d.outs) != many {
+				b.Fatalf("%d are out, not %d", len(d.outs), many)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				ask()
+				d.Outcome(now, id-uint32(many), Outcome{Took: 5 * ms, Fill: Hit, Final: true})
+				now += every(planRate)
+			}
+			if len(d.outs) != many {
+				b.Fatalf("%d are out, not %d", len(d.outs), many)
+			}
+		})
+	}
+}
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"sort"
 	"testing"
 	"time"
@@ -397,3 +398,34 @@
 		}
 	}
 }
+
+// A table as full as it gets, of objects of four parts, holds what its constants say. Each part remembers the order of its location's
+// caches: at a site of four it fits into a small machine, with all of the plan's caches at one location the orders take most of it.
+func TestMemoryOfTheTable(t *testing.T) {
+	const parts = partsInAll / tableSize
+	for _, caches := range []int{4, 36, planCaches} {
+		var before, after runtime.MemStats
+		d := listedWith(planDirectors, caches)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range uint64(tableSize + 100) {
+			o := d.object(i+1, 0)
+			for no := range uint32(parts) {
+				p := d.part(o, no, true)
+				p.asks.Add(0, 1)
+				p.held = append(p.held, copyAt{d.order(p)[0], 0})
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		if len(d.table) != tableSize || d.partCount != partsInAll {
+			t.Fatalf("%d objects, %d parts", len(d.table), d.partCount)
+		}
+		whole, most := float64(after.HeapAlloc-before.HeapAlloc), float64(partsInAll*(500+8*caches))
+		t.Logf("%d caches: %.1f MB, %.0f bytes a part", caches, whole/1e6, whole/partsInAll)
+		if whole > most {
+			t.Errorf("%d caches: a full table takes %.1f MB, over %.1f", caches, whole/1e6, most/1e6)
+		}
+		runtime.KeepAlive(d)
+	}
+}
