--- a/control/table_test.go
+++ b/control/table_test.go
@@ -206,6 +206,16 @@
 	apart           int           // periods in which the director's table was not the one reckoned
 }
 
+// add takes in another play.
+func (r *told) add(o told) {
+	r.lived = (r.lived*time.Duration(r.full) + o.lived*time.Duration(o.full)) / time.Duration(max(1, r.full+o.full))
+	for _, sum := range [][2]*int{{&r.full, &o.full}, {&r.forgotten, &o.forgotten}, {&r.hot, &o.hot}, {&r.known, &o.known},
+		{&r.byUse, &o.byUse}, {&r.away, &o.away}, {&r.lost, &o.lost}, {&r.lostByUse, &o.lostByUse}, {&r.asked, &o.asked},
+		{&r.moved, &o.moved}, {&r.apart, &o.apart}} {
+		*sum[0] += *sum[1]
+	}
+}
+
 // playTable plays a director before four caches, what a site of the plan has. From the twentieth second on, for as long, a rush
 // on three new objects has 12, 8 and 5% of all reqs; each other req draws one of 7 billion objects.
 func playTable(seed uint64, rate, skew float64) (r told) {
@@ -317,6 +327,10 @@
 		rate := siteRate(c.sites)
 		for _, skew := range c.skews {
 			r := playTable(1, rate, skew)
+			if c.sites == 0 { // few hot objects a second: three plays
+				r.add(playTable(2, rate, skew))
+				r.add(playTable(3, rate, skew))
+			}
 			of := func(n, all int) float64 { return float64(n) / float64(max(1, all)) }
 			t.Logf("%4.0f reqs a second, skew %.1f, the first has %.2f%%: an entry lives %.1f s (%d had to go, %d forgotten)",
 				rate, skew, 100*newPopular(skew, 7e9, 10_000).first(), r.lived.Seconds(), r.full, r.forgotten)
