--- a/stream/choice.go
+++ b/stream/choice.go
@@ -38,6 +38,11 @@
 // the directors of a machine that is lost spread evenly over the rest, and nobody else has to move. Of doubled names the
 // first counts.
 func Prefer(me string, at Place, all []Machine) []string {
+	return prefer(me, all, func(p Place) bool { return p.Region == at.Region })
+}
+
+// prefer orders by rendezvous hash, those first that are near.
+func prefer(me string, all []Machine, near func(p Place) bool) []string {
 	type weighed struct {
 		name string
 		near bool
@@ -46,7 +51,7 @@
 	var list []weighed
 	for _, m := range all {
 		if !slices.ContainsFunc(list, func(w weighed) bool { return w.name == m.Name }) {
-			list = append(list, weighed{m.Name, m.Place.Region == at.Region, rendezvous(me, m.Name, 0)})
+			list = append(list, weighed{m.Name, near(m.Place), rendezvous(me, m.Name, 0)})
 		}
 	}
 	slices.SortFunc(list, func(x, y weighed) int {
@@ -144,12 +149,13 @@
 // three machines are dialled or linked, and a third one only while the two others are up.
 type Choice struct {
 	c       ChoiceConfig
-	order   []string
+	order   []string // the best two, and those who stand in for them
 	places  map[string]Place
 	records map[string]*record
 	slots   [3]slot
 	active  string
 	draws   uint64
+	calm    time.Duration // no link is moved before it
 	without time.Duration // since when no link is up; Never: one is
 	acts    []Act
 	counts  ChoiceCounts
@@ -179,13 +185,26 @@
 	return h
 }
 
-// list takes the machines over.
+// list takes the machines over. The best two come first: the preferred one, and the next of those least like it. The rest,
+// who stand in for them, come by hash alone: were the own region first there too, one machine would take over most of what
+// another of its region leaves.
 func (h *Choice) list(all []Machine) {
-	h.order = Prefer(h.c.Me, h.c.At, all)
 	h.places = map[string]Place{}
 	for _, m := range slices.Backward(all) {
 		h.places[m.Name] = m.Place
 	}
+	h.order = nil
+	if list := Prefer(h.c.Me, h.c.At, all); len(list) > 0 {
+		h.order = append(h.order, list[0])
+		if len(list) > 1 {
+			h.order = append(h.order, h.unlike(list[0], list[1:]))
+		}
+	}
+	for _, name := range prefer(h.c.Me, all, func(Place) bool { return false }) {
+		if !slices.Contains(h.order, name) {
+			h.order = append(h.order, name)
+		}
+	}
 	for name := range h.records {
 		if _, listed := h.places[name]; !listed {
 			delete(h.records, name)
@@ -410,24 +429,35 @@
 	return best
 }
 
-// wanted are the two best machines of those that are at hand or have been without fault for a while.
+// wanted are the two machines to be kept: the best two, as far as they are at hand or have been without fault for a while.
+// For one that is not, those linked now will do, unless others are less alike. "" twice: there are no two.
 func (h *Choice) wanted(now time.Duration) (first, second string) {
-	var list []string
-	for _, name := range h.order {
-		if h.at(name, Linked) >= 0 || !h.held(name) && now >= h.records[name].back {
-			list = append(list, name)
+	var list []string // the linked ones before those that may be tried
+	for _, linked := range [2]bool{true, false} {
+		for _, name := range h.order {
+			if up := h.at(name, Linked) >= 0; up == linked && (up || !h.held(name) && now >= h.records[name].back) {
+				list = append(list, name)
+			}
 		}
 	}
 	if len(list) < 2 {
 		return "", ""
 	}
-	return list[0], h.unlike(list[0], list[1:])
+	has := func(name string) bool { return slices.Contains(list, name) }
+	first = h.active
+	if has(h.order[0]) {
+		first = h.order[0]
+	}
+	if first == h.order[0] && has(h.order[1]) {
+		return first, h.order[1]
+	}
+	return first, h.unlike(first, slices.DeleteFunc(list, func(name string) bool { return name == first }))
 }
 
 // review moves one link to a better machine, or the subscription to the better link, while both kept ones are up and
 // steady. A better machine is linked before the worse one is dropped.
 func (h *Choice) review(now time.Duration) {
-	if !h.settled(now, 0) || !h.settled(now, 1) {
+	if !h.settled(now, 0) || !h.settled(now, 1) || now < h.calm {
 		return
 	}
 	first, second := h.wanted(now)
@@ -441,7 +471,7 @@
 		h.try(now, first)
 	case t.state == Vacant && !kept(second):
 		h.try(now, second)
-	case t.state == Vacant && h.active != first:
+	case t.state == Vacant && h.active != first && first == h.order[0]: // for a stand-in of it nothing is moved
 		// The former machine goes on writing to its subscriber until the connection ends, so it is dialled anew.
 		was := h.at(h.active, Linked)
 		h.do(Activate, first)
@@ -452,6 +482,7 @@
 	case h.settled(now, trial) && t.name != first && t.name != second: // better ones came to be at hand meanwhile
 		h.do(Drop, t.name)
 		h.move(now, trial, Vacant, "", 0)
+		h.calm = now + h.c.Settle
 	case h.settled(now, trial):
 		h.replace(now, first, second)
 	}
@@ -495,6 +526,7 @@
 	if was == gone {
 		h.active = t.name
 	}
+	h.calm = now + h.c.Settle
 	h.counts.Moves++
 }
 
@@ -518,6 +550,7 @@
 		}
 	}
 	if h.up(0) && h.up(1) {
+		add(h.calm)
 		for name, r := range h.records {
 			if !h.held(name) {
 				add(r.back)
