Control machines publish in streams; directors follow two of them instead of each other

Cause: every director dials every other. Change: where the operator file names control machines, only they share duties, in their mesh; news of machines are notes in streams (package stream) that each control machine keeps and writes to the directors subscribed with it. A director (crew.Follower) keeps two uplinks, subscribes on one, asks again from its position after a gap, and tells since when no majority follows a keeper. Control machines by different lists refuse each other's messages about duties. What learns of machines is shared by both (crew/news.go).

--- a/cmd/indigochute/duties.go
+++ b/cmd/indigochute/duties.go
@@ -33,7 +33,7 @@
 		Args:    exactly(0),
 	}
 	at := c.Flags().String("at", "", "an instance's address")
-	file := c.Flags().String("operator", "", "operator file: the first instance or control machine of it that answers is asked")
+	file := c.Flags().String("operator", "", "operator file: the first instance of it that answers is asked")
 	json := c.Flags().Bool("json", false, "print JSON")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		var addrs []string
@@ -69,9 +69,30 @@
 	return c
 }
 
+// printFollower tells how a director that follows control machines stands.
+func printFollower(out io.Writer, f *crew.FollowerStatus) {
+	t := newTable(out, "control machine", "state", "dials", "rtt ms")
+	for _, l := range f.Uplinks.Links {
+		state := l.State
+		if l.Name == f.Uplinks.Active {
+			state += ", active"
+		}
+		t.AppendRow([]any{l.Name, state, l.Dials, fmt.Sprintf("%.1f", l.RTT)})
+	}
+	t.Render()
+	fmt.Fprintf(out, "%s took %d notes, %d silent and %d alive told.\n", f.Name, f.Stream.Taken, f.Told.Silent, f.Told.Alive)
+	if f.Without > 0 {
+		fmt.Fprintf(out, "For %v it has heard of no majority of control machines: it serves by its own judgement.\n", f.Without.Round(time.Second))
+	}
+}
+
 func printDuties(out io.Writer, f *crew.Fleet) {
-	t := newTable(out, "instance", "role", "follows", "owns", "runs", "failed", "hang", "links up", "silent told", "alive told")
+	t := newTable(out, "instance", "role", "follows", "owns", "runs", "failed", "hang", "links up", "silent told", "alive told", "directors")
 	for _, s := range f.Instances {
+		if s.Follower != nil {
+			printFollower(out, s.Follower)
+			continue
+		}
 		up := 0
 		for _, l := range s.Bus.Links {
 			if l.State == "up" {
@@ -79,7 +100,10 @@
 			}
 		}
 		t.AppendRow([]any{s.Name, s.Duty.Role, s.Duty.Keeper, len(s.Duty.Own), s.Runs, s.Failed, s.Hung,
-			fmt.Sprintf("%d of %d", up, len(s.Bus.Links)), s.Told.Silent, s.Told.Alive})
+			fmt.Sprintf("%d of %d", up, len(s.Bus.Links)), s.Told.Silent, s.Told.Alive, s.Bus.Subscribers.Connected})
+		if len(s.Lists) > 0 {
+			fmt.Fprintf(out, "%s and %s know other control machines: they refuse each other's messages about duties.\n", s.Name, strings.Join(s.Lists, ", "))
+		}
 	}
 	for _, name := range f.Unreachable {
 		t.AppendRow([]any{name, "does not answer"})
--- a/cmd/indigochute/serve.go
+++ b/cmd/indigochute/serve.go
@@ -54,9 +54,17 @@
 	return c
 }
 
-// member is a crew whose operator file can be read again.
+// part is a director's part in its installation, whose operator file can be read again: a crew's, or that of a director that
+// follows control machines.
+type part interface {
+	Reload(*operator.File) error
+	Leave()
+	Close()
+}
+
+// member reads the operator file for a part.
 type member struct {
-	*crew.Crew
+	part
 	path, me string
 	log      *logrus.Entry
 }
@@ -67,18 +75,23 @@
 		return nil, err
 	}
 	debug.FreeOSMemory() // reading a file of a thousand duties takes some 70 MB, once
-	c, err := crew.Start(f, me, d, log)
+	m := &member{path: path, me: me, log: log}
+	if f.Role(me) == operator.Director {
+		m.part, err = crew.Follow(f, me, d, log, crew.FollowOptions{})
+	} else {
+		m.part, err = crew.Start(f, me, d, log)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return &member{c, path, me, log}, nil
+	return m, nil
 }
 
 // Reload reads the file again. A fault leaves what is in force.
 func (m *member) Reload() {
 	f, err := operator.Read(m.path, m.me)
 	if err == nil {
-		err = m.Crew.Reload(f)
+		err = m.part.Reload(f)
 	}
 	debug.FreeOSMemory()
 	if err != nil {
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -16,6 +16,7 @@
 	"indigochute.example/indigochute/duty"
 	"indigochute.example/indigochute/operator"
 	"indigochute.example/indigochute/peer"
+	"indigochute.example/indigochute/stream"
 )
 
 // Served is the director that takes part.
@@ -42,36 +43,48 @@
 	stop  chan struct{}
 	all   sync.WaitGroup
 
+	dutyTopic string
+
+	subscribers logPace
+	*learner
+
 	mu      sync.Mutex
 	f       *operator.File
 	node    *duty.Node
-	board   *duty.Board
+	stream  *stream.Node // of a control machine; nil: an instance among others
 	tasks   map[string]*task
 	closing bool
-	told    Told
-	role    string // as logged last
-}
-
-// Told counts what was heard of machines.
-type Told struct {
-	Silent  int `json:"silent"` // reports of silence that counted,
-	Alive   int `json:"alive"`  // and of life
-	Passed  int `json:"passed"` // reports that were older than what was known
-	Doubted int `json:"doubted"`
+	role    string    // as logged last
+	kept    bool      // as subscribers were told last
+	differ  []string  // control machines that know others as such than this one does
+	listed  time.Time // when this one told which it knows
 }
 
 // Start joins a director to the others. It listens at the address that the file gives for it.
 func Start(f *operator.File, me string, d Served, log *logrus.Entry) (*Crew, error) {
-	c := &Crew{me: me, d: d, log: log, f: f, start: time.Now(), stop: make(chan struct{}), board: duty.NewBoard(), tasks: map[string]*task{}}
+	c := &Crew{me: me, d: d, log: log, f: f, start: time.Now(), stop: make(chan struct{}), learner: newLearner(d), dutyTopic: dutyTopic(f), tasks: map[string]*task{}}
 	born := uint64(c.start.UnixMilli())
 	conf := duty.Config{Me: me, All: f.Names(), Lease: f.Lease.D(), Beat: f.Beat.D(), Drift: float64(f.Drift), Duties: f.List(), Seed: born, Born: born}
 	if err := conf.Check(); err != nil {
 		return nil, err
 	}
 	c.node = duty.New(conf, c.now())
-	bus, err := peer.Open(peer.Options{Me: me, Listen: f.Address(me), Peers: f.Others(me), Log: log,
-		Heard:   map[string]func(peer.From, []byte){topicDuty: c.heard, topicNews: c.news},
-		Answers: peer.Answers{topicStatus: c.answer}})
+	o := peer.Options{Me: me, Listen: f.Address(me), Peers: f.Others(me), Log: log,
+		Heard:   map[string]func(peer.From, []byte){dutyTopic(f): c.heard, topicNews: c.news},
+		Answers: peer.Answers{topicStatus: c.answer}}
+	if f.Role(me) == operator.ControlMachine {
+		sc := stream.Config{Me: me, Origins: f.ControlNames(), Epoch: born}
+		if err := sc.Check(); err != nil {
+			return nil, err
+		}
+		c.stream = stream.New(sc)
+		o.Heard[topicStream], o.Heard[topicLists] = c.streamed, c.heardLists
+		o.Subscribers, o.Publisher, o.SubscriberRate, o.AcceptRate = f.DirectorNames(), c, int(f.Uplink.Rate), acceptRate
+	}
+	// Messages may come from the moment that it listens: none is taken before all is set.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	bus, err := peer.Open(o)
 	if err != nil {
 		return nil, fmt.Errorf("the address for other directors: %w", err)
 	}
@@ -98,6 +111,7 @@
 	c.node.SetDuties(f.List())
 	c.mu.Unlock()
 	c.bus.List(f.Others(c.me))
+	c.bus.Allow(f.DirectorNames())
 	c.log.WithField("duties", len(f.Duties)).Info("operator file read again")
 	return nil
 }
@@ -128,8 +142,20 @@
 		c.begin(now, o)
 	}
 	c.noteRole(now)
+	var pass []stream.Message
+	wake := false
+	if c.stream != nil {
+		pass = c.stream.Tick(now)
+		kept := c.node.Kept(now)
+		wake, c.kept = kept != c.kept, kept
+		c.lists()
+	}
 	c.mu.Unlock()
 	c.send(out)
+	c.pass(pass)
+	if wake {
+		c.bus.Wake()
+	}
 }
 
 // noteRole logs when this instance becomes the keeper or ceases to be.
@@ -162,7 +188,7 @@
 
 func (c *Crew) send(out []duty.Message) {
 	for i := range out {
-		c.bus.Send(out[i].To, topicDuty, duty.Append(nil, &out[i]))
+		c.bus.Send(out[i].To, c.dutyTopic, duty.Append(nil, &out[i]))
 	}
 }
 
@@ -173,25 +199,7 @@
 		c.log.WithError(err).WithField("peer", from.Name).Warn("probing: a message that cannot be read")
 		return
 	}
-	c.learn(&n)
-}
-
-// learn hands over to the director what counts of the news.
-func (c *Crew) learn(n *duty.News) {
-	c.mu.Lock()
-	count := c.board.Take(c.now(), n)
-	c.told.Passed += len(n.Reports) - len(count)
-	for _, r := range count {
-		if r.Alive {
-			c.told.Alive++
-		} else {
-			c.told.Silent++
-		}
-	}
-	c.mu.Unlock()
-	for _, r := range count {
-		c.d.Told(r.Node, r.Born, r.Alive, r.Age)
-	}
+	c.learn(c.now(), 0, &n)
 }
 
 // Leave hands duties over to the others, waits until that is done, though no longer than a lease, and ends.
--- /dev/null
+++ b/crew/follower.go
@@ -0,0 +1,196 @@
+package crew
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"indigochute.example/indigochute/msgpack"
+	"indigochute.example/indigochute/operator"
+	"indigochute.example/indigochute/peer"
+	"indigochute.example/indigochute/stream"
+)
+
+// Follower is a director's part in an installation with control machines: it keeps links to two of them and takes what is
+// for all from one. It neither votes nor runs duties, and knows no other director. Without a link it serves on by its own
+// judgement.
+type Follower struct {
+	me    string
+	log   *logrus.Entry
+	o     FollowOptions
+	start time.Time
+	up    *peer.Uplinks
+	desk  *peer.Desk // nil: the file gives it no address
+	bad   logPace
+	*learner
+
+	mu     sync.Mutex
+	f      *operator.File
+	reader *stream.Reader
+	kept   bool
+	since  time.Time // when kept became what it is
+	closed bool
+}
+
+// FollowOptions are for trials.
+type FollowOptions struct {
+	Heard func(n *stream.Note) // told of every note taken, in the goroutine that reads the link
+}
+
+// FollowerStatus is what a director tells of its part.
+type FollowerStatus struct {
+	Name    string              `json:"name"`
+	Uplinks peer.UplinkStatus   `json:"uplinks"`
+	Stream  stream.ReaderCounts `json:"stream"`
+	Vector  stream.Vector       `json:"vector"`
+	Told    Told                `json:"told"`
+	// Without is since when no majority of control machines follows a keeper, as far as this director knows: it has no link,
+	// or was told so. 0: a majority does.
+	Without time.Duration `json:"without_ns"`
+}
+
+// Follow has a director follow the control machines of the file.
+func Follow(f *operator.File, me string, d Served, log *logrus.Entry, o FollowOptions) (*Follower, error) {
+	if f.Role(me) != operator.Director {
+		return nil, fmt.Errorf("%q is not among the directors of the operator file", me)
+	}
+	w := &Follower{me: me, log: log, o: o, f: f, start: time.Now(), since: time.Now(), learner: newLearner(d),
+		reader: stream.NewReader(f.ControlNames())}
+	if addr := f.Address(me); addr != "" {
+		desk, err := peer.OpenDesk(addr, peer.Answers{topicStatus: w.answer})
+		if err != nil {
+			return nil, fmt.Errorf("the address for status: %w", err)
+		}
+		w.desk = desk
+	}
+	h := fnv.New64a()
+	h.Write([]byte(me))
+	w.up = peer.OpenUplinks(peer.UplinkOptions{Me: me, At: f.Place(me), Control: machines(f), Spread: f.Uplink.Spread.D(),
+		Seed: h.Sum64() ^ uint64(w.start.UnixNano()), Log: log, Greeting: w.greeting, Heard: w.heard})
+	log.WithFields(logrus.Fields{"control": len(f.Control), "directors": len(f.Directors)}).Info("following control machines")
+	return w, nil
+}
+
+// machines are the control machines of a file.
+func machines(f *operator.File) (all []peer.Machine) {
+	for _, x := range f.Control {
+		all = append(all, peer.Machine{Machine: stream.Machine{Name: x.Name, Place: stream.Place{Region: x.Region, Zone: x.Zone, Site: x.Site}}, Addr: x.Address})
+	}
+	return all
+}
+
+// greeting subscribes from what was taken last.
+func (w *Follower) greeting() (topic string, payload []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return topicFrom, stream.AppendVector(nil, w.reader.Vector())
+}
+
+// heard takes what a control machine tells.
+func (w *Follower) heard(topic string, payload []byte) {
+	switch topic {
+	case topicKept:
+		v := msgpack.NewValues(payload)
+		if kept := v.Bool(); v.End() == nil {
+			w.setKept(kept)
+		}
+	case topicNotes:
+		notes, err := stream.ParseNotes(payload)
+		if err != nil {
+			w.bad.line(w.log.WithError(err), "notes that cannot be read")
+			return
+		}
+		gap := false
+		for i := range notes {
+			w.mu.Lock()
+			verdict := w.reader.Take(&notes[i])
+			w.mu.Unlock()
+			switch verdict {
+			case stream.Taken:
+				w.learner.note(time.Since(w.start), &notes[i])
+				if w.o.Heard != nil {
+					w.o.Heard(&notes[i])
+				}
+			case stream.Gap:
+				gap = true
+			}
+		}
+		if gap {
+			w.up.Again()
+		}
+	}
+}
+
+func (w *Follower) setKept(kept bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if kept != w.kept {
+		w.kept, w.since = kept, time.Now()
+		w.log.WithField("majority", kept).Info("control machines")
+	}
+}
+
+// Status tells how this director stands.
+func (w *Follower) Status() FollowerStatus {
+	up := w.up.Status()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := FollowerStatus{Name: w.me, Uplinks: up, Stream: w.reader.Counts(), Vector: w.reader.Vector(), Told: w.learner.counts(), Without: up.Without}
+	if !w.kept {
+		s.Without = max(s.Without, time.Since(w.since))
+	}
+	return s
+}
+
+func (w *Follower) answer([]byte) ([]byte, error) {
+	f := w.Status()
+	s := Status{Follower: &f, Told: f.Told, Others: map[string]string{}, Results: map[string]Result{}}
+	s.Duty.Instance, s.Duty.Role = w.me, "director"
+	w.mu.Lock()
+	for _, x := range w.f.Control {
+		s.Others[x.Name] = x.Address
+	}
+	w.mu.Unlock()
+	return json.Marshal(s)
+}
+
+// Reload takes another operator file: control machines may come, go and move. This director must still be one in it.
+func (w *Follower) Reload(f *operator.File) error {
+	if f.Role(w.me) != operator.Director {
+		return fmt.Errorf("%q is not among the directors of the file any more; nothing of it was taken", w.me)
+	}
+	w.mu.Lock()
+	if f.Uplink.Spread != w.f.Uplink.Spread {
+		w.mu.Unlock()
+		return errors.New("uplink.spread: another value takes effect at a start only; nothing of the file was taken")
+	}
+	w.f = f
+	w.reader.List(f.ControlNames())
+	w.mu.Unlock()
+	w.up.List(machines(f))
+	w.log.WithField("control", len(f.Control)).Info("operator file read again")
+	return nil
+}
+
+// Leave ends all: others need no word of it.
+func (w *Follower) Leave() { w.Close() }
+
+// Close ends all.
+func (w *Follower) Close() {
+	w.mu.Lock()
+	closed := w.closed
+	w.closed = true
+	w.mu.Unlock()
+	if closed {
+		return
+	}
+	w.up.Close()
+	if w.desk != nil {
+		w.desk.Close()
+	}
+}
--- a/crew/status.go
+++ b/crew/status.go
@@ -10,6 +10,7 @@
 
 	"indigochute.example/indigochute/duty"
 	"indigochute.example/indigochute/peer"
+	"indigochute.example/indigochute/stream"
 )
 
 // Status is what one instance tells of itself to whoever asks.
@@ -23,6 +24,19 @@
 	Told    Told              `json:"told"`
 	Others  map[string]string `json:"others"` // addresses of the other instances
 	Cut     bool              `json:"cut"`    // lists were too long to tell whole
+
+	// Of a control machine:
+	Stream  *StreamStatus `json:"stream,omitempty"`
+	Lists   []string      `json:"lists,omitempty"` // control machines whose list of names differs from this one's
+	Without time.Duration `json:"without_ns"`      // since no majority follows a keeper, as far as is known here; 0: one does
+	// Of a director that follows control machines:
+	Follower *FollowerStatus `json:"follower,omitempty"`
+}
+
+// StreamStatus is what a control machine tells of the streams.
+type StreamStatus struct {
+	Counts stream.Counts `json:"counts"`
+	Vector stream.Vector `json:"vector"`
 }
 
 // Status tells how this instance stands.
@@ -30,7 +44,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	s := Status{Duty: c.node.Status(now), Results: map[string]Result{}, Told: c.told, Others: c.f.Others(c.me)}
+	s := Status{Duty: c.node.Status(now), Results: map[string]Result{}, Told: c.learner.counts(), Others: c.f.Others(c.me)}
 	for name, t := range c.tasks {
 		s.Runs += t.done
 		s.Failed += t.bad
@@ -43,6 +57,11 @@
 			s.Results[name] = t.last
 		}
 	}
+	if c.stream != nil {
+		s.Stream = &StreamStatus{c.stream.Counts(), c.stream.Vector()}
+		s.Lists = slices.Clone(c.differ)
+		s.Without = c.node.Without(now)
+	}
 	s.Bus = c.bus.Status()
 	return s
 }
--- a/crew/task.go
+++ b/crew/task.go
@@ -128,8 +128,11 @@
 // perform does what a duty is for. A panic is a failed run and costs nothing else.
 func (c *Crew) perform(ctx context.Context, r *run, d operator.Duty) (err error) {
 	defer c.caught(d.Name, &err)
-	if d.Kind == "probe" {
-		return c.probe(ctx, r)
+	switch d.Kind {
+	case "probe":
+		return c.probe(ctx, r, d)
+	case "note":
+		return c.tellNote(r, d)
 	}
 	return c.call(ctx, r, d)
 }
@@ -163,7 +166,7 @@
 }
 
 // probe looks at every cache and parent and tells all directors what it has seen, if that says anything of the machines.
-func (c *Crew) probe(ctx context.Context, r *run) error {
+func (c *Crew) probe(ctx context.Context, r *run, d operator.Duty) error {
 	c.mu.Lock()
 	p := c.f.Probe
 	c.mu.Unlock()
@@ -205,9 +208,7 @@
 		return errLost
 	}
 	if duty.Doubtful(byRole(reports, c.d.Machines())) {
-		c.mu.Lock()
-		c.told.Doubted++
-		c.mu.Unlock()
+		c.learner.doubted()
 		return errors.New("more than half of the machines are silent: this instance may be cut off, so nothing is told")
 	}
 	whole := time.Since(began)
@@ -215,8 +216,12 @@
 		reports[i].Age = whole - reports[i].Age
 	}
 	n := duty.News{Duty: r.o.Duty, Fence: fence, Run: r.o.Run, Reports: reports}
-	c.bus.All(topicNews, duty.AppendNews(nil, &n))
-	c.learn(&n)
+	c.learn(c.now(), 0, &n)
+	b := duty.AppendNews(nil, &n)
+	if c.stream != nil {
+		return c.publish(keyNews+n.Duty, newsLive*d.Period.D(), b)
+	}
+	c.bus.All(topicNews, b)
 	return nil
 }
 
--- a/duty/hold.go
+++ b/duty/hold.go
@@ -11,6 +11,7 @@
 type holding struct {
 	keeper    string
 	heard     time.Duration // of a keeper last
+	granted   time.Duration // by a keeper last: only one that a majority follows grants
 	hellos    map[uint64]*said
 	nextHello time.Duration
 	setTerm   uint64 // of the keeper that gave the present set,
@@ -110,7 +111,7 @@
 		n.counts.Refused++
 		return
 	}
-	n.heard = now
+	n.heard, n.granted = now, now
 	until := x.at + n.c.shorter(m.For)
 	for name, at := range x.ran {
 		if h := n.holds[name]; h != nil && h.at == at {
--- a/duty/node.go
+++ b/duty/node.go
@@ -99,6 +99,21 @@
 // Keeper tells whether this instance is the keeper now.
 func (n *Node) Keeper(now time.Duration) bool { return n.standing && now < n.kept }
 
+// Without is for how long no keeper that a majority follows was heard of here; 0: there is one, as far as can be known. A
+// candidate's question says nothing of that, a grant does.
+func (n *Node) Without(now time.Duration) time.Duration {
+	if n.Keeper(now) && n.sure == n.mine {
+		return 0
+	}
+	if d := now - n.granted; n.granted == 0 || d >= n.c.Lease {
+		return d
+	}
+	return 0
+}
+
+// Kept tells whether there is a keeper that a majority follows, as far as is known here.
+func (n *Node) Kept(now time.Duration) bool { return n.Without(now) == 0 }
+
 // Leave has the instance take no more duties: those it owns are given back as their runs end, and if it is the keeper
 // it hands that over, too. Gone tells when that is done.
 func (n *Node) Leave() { n.leaving, n.nextHello = true, 0 }
--- a/peer/bus.go
+++ b/peer/bus.go
@@ -66,7 +66,7 @@
 
 	Subscribers    []string  // names that may subscribe, and are no peers
 	Publisher      Publisher // what they are told; nil: nobody may subscribe
-	SubscriberRate int       // bytes a second that each of them is written, with a burst of four seconds' worth; 0: no bound
+	SubscriberRate int       // bytes a second that each of them is written, with a burst of one second's worth; 0: no bound
 	// AcceptRate is how many connections a second are accepted, with a burst of a quarter of a second's worth; the kernel's
 	// backlog holds the rest, so that a herd costs bounded processor time. 0: no bound.
 	AcceptRate float64
@@ -117,7 +117,7 @@
 	}
 	b := &Bus{o: o, l: l, stop: make(chan struct{}), links: map[string]*link{}, known: map[string]uint64{}, in: map[string][]*inbound{}}
 	b.incarnation.Store(born())
-	b.subs.b = b
+	b.subs.b, b.subs.by = b, map[string]*Subscriber{}
 	b.Allow(o.Subscribers)
 	b.List(o.Peers)
 	b.all.Go(b.accept)
--- a/peer/subscriber.go
+++ b/peer/subscriber.go
@@ -18,7 +18,7 @@
 	subscriberFrames  = 200      // a second that are read of it: it greets and pings,
 	subscriberBytes   = 1 << 20  // and bytes; it waits for more, nobody else does
 	subscriberBuffers = 64 << 10 // of the kernel, each way, so that one that reads nothing holds no more memory than that
-	subscriberBurst   = 4        // seconds' worth of its rate that may come at once
+	subscriberBurst   = 1        // seconds' worth of its rate that may come at once
 )
 
 // Times of a subscriber.
--- a/stream/choice_test.go
+++ b/stream/choice_test.go
@@ -98,8 +98,8 @@
 	hangs    bool // dials end by a timeout, not at once
 }
 
-// follower drives one choice through outages, and checks it after each step.
-type follower struct {
+// chooser drives one choice through outages, and checks it after each step.
+type chooser struct {
 	t       testing.TB
 	c       *Choice
 	now     time.Duration
@@ -112,13 +112,13 @@
 	began   bool
 }
 
-func follow(t testing.TB, me string, at Place, seed uint64, spread time.Duration, all []Machine) *follower {
-	f := &follower{t: t, held: map[string]ChoiceState{}, due: map[string]time.Duration{}}
+func follow(t testing.TB, me string, at Place, seed uint64, spread time.Duration, all []Machine) *chooser {
+	f := &chooser{t: t, held: map[string]ChoiceState{}, due: map[string]time.Duration{}}
 	f.c = NewChoice(ChoiceConfig{Me: me, At: at, Seed: seed, Spread: spread}, all, 0)
 	return f
 }
 
-func (f *follower) up() (n int) {
+func (f *chooser) up() (n int) {
 	for _, s := range f.held {
 		if s == Linked {
 			n++
@@ -128,7 +128,7 @@
 }
 
 // take does what the choice wants done. Listed is whether links may be dropped for want of being listed.
-func (f *follower) take(acts []Act, listed bool) {
+func (f *chooser) take(acts []Act, listed bool) {
 	for _, a := range acts {
 		state, held := f.held[a.Name]
 		switch a.Do {
@@ -168,7 +168,7 @@
 }
 
 // run goes on until a time.
-func (f *follower) run(until time.Duration, outages []outage) {
+func (f *chooser) run(until time.Duration, outages []outage) {
 	down := func(name string) (o outage, is bool) {
 		for _, o := range outages {
 			if o.name == name && f.now >= o.from && f.now < o.to {
@@ -242,7 +242,7 @@
 	}
 }
 
-func (f *follower) hand(acts []Act) {
+func (f *chooser) hand(acts []Act) {
 	f.take(acts, false)
 	for len(f.moved) < f.c.Counts().Moves {
 		f.moved = append(f.moved, f.now)
@@ -274,7 +274,7 @@
 	links, actives map[string]int
 }
 
-func (l *load) add(f *follower) {
+func (l *load) add(f *chooser) {
 	for name, s := range f.held {
 		if s == Linked {
 			l.links[name]++
