Hollow directors: many real crews in one process, with a checker of their own

Cause: talk among hundreds of directors and control machines was to be tried and measured, where one machine does not carry as many whole directors. Change: lab/hollow runs crews and followers over real TCP on loopback with no clients and no machines; a checker that knows nothing of the stream's core holds what each director took against what all should have (doubled, stale, out of order, missing), with latencies by window. `indigochute hollow SPEC` (hidden) is that as a process with a desk; `indigochute hollow talk` measures the talk of a mesh and of control machines by size, and hollow directors beside real ones.

--- a/cmd/indigochute/main.go
+++ b/cmd/indigochute/main.go
@@ -61,7 +61,7 @@
 	c.PersistentFlags().BoolVarP(&log.verbose, "verbose", "v", false, "log each req as well, as --log-level debug does")
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return wrongCall{err} })
 	c.AddCommand(serveCommand(log), checkCommand(), versionCommand(), planCommand(), standCommand(log), schemaCommand(), rehearseCommand(), migrateCommand(),
-		dutiesCommand(), slopesCommand())
+		dutiesCommand(), slopesCommand(), hollowCommand(log))
 	return c
 }
 
