--- a/stream/log.go
+++ b/stream/log.go
@@ -139,8 +139,8 @@
 	}
 }
 
-// add keeps a note as the last of its log, unless a newer epoch's supersedes it: then it tells no. What must make room for
-// it goes first.
+// add keeps a note as the last of its log, unless a newer epoch's supersedes it: then it tells no. What has expired is to be
+// removed before, so that it makes room first; then the oldest does.
 func (s *store) add(now time.Duration, l *epochLog, n *Note) bool {
 	o := s.origins[l.origin]
 	if old := o.newest[n.Key]; old != nil {
@@ -152,9 +152,7 @@
 	s.arrivals++
 	e := &entry{log: l, number: n.Number, arrival: s.arrivals, until: now + n.Life - n.Age, life: n.Life, key: n.Key, payload: n.Payload}
 	for s.entries > 0 && (s.entries >= s.mostEntries || s.bytes+e.size() > s.mostBytes) {
-		if s.expire(now); s.entries >= s.mostEntries || s.bytes+e.size() > s.mostBytes {
-			s.evictOldest()
-		}
+		s.evictOldest()
 	}
 	l.entries = append(l.entries, e)
 	l.live++
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -121,14 +121,11 @@
 // Counts since the start.
 func (r *Reader) Counts() ReaderCounts { return r.counts }
 
-// ledger is the position within each epoch of each origin, of which the newest readerEpochs are known. A position that is
-// forgotten raises the floor under all that is known, so that nothing of that epoch counts as new again.
+// ledger is the position within each epoch of each origin, of which the newest readerEpochs are known. Once there are so
+// many, the oldest known is the floor: an epoch below may have been forgotten, and nothing of it counts as new again.
 type ledger map[string]*epochs
 
-type epochs struct {
-	floor uint64 // epochs below are too far back
-	list  []epochAt
-}
+type epochs struct{ list []epochAt }
 
 type epochAt struct{ epoch, number uint64 }
 
@@ -146,7 +143,7 @@
 	switch {
 	case known:
 		return e.list[i].number, true
-	case epoch < e.floor, len(e.list) >= readerEpochs && i == 0:
+	case len(e.list) >= readerEpochs && i == 0:
 		return 0, false
 	}
 	return 0, true
@@ -165,7 +162,6 @@
 		return
 	}
 	if e.list = slices.Insert(e.list, i, epochAt{epoch, number}); len(e.list) > readerEpochs {
-		e.floor = e.list[0].epoch + 1
 		e.list = slices.Delete(e.list, 0, 1)
 	}
 }
