Rehearsal of scale: 5 to 580 directors on control machines, with faults in an order from the seed

Cause: whether directors that follow control machines stay within their part of a core, of bytes and of memory, and take every note once and soon, had no play of its own. A report may carry a record. The hollow checker tells how long earlier notes still came in a window; usage counts TCP segments.

--- a/cmd/indigochute/rehearse.go
+++ b/cmd/indigochute/rehearse.go
@@ -11,14 +11,18 @@
 
 func rehearseCommand() *cobra.Command {
 	c := &cobra.Command{
-		Use:     "rehearse NAME",
-		Short:   "Play a subsystem's failures against stand-ins on loopback",
-		Long:    "Plays scripted failures against stand-ins, under a minute. Ends with 1 where something was seen that should not be.\nrehearse list names what there is.",
-		Example: "  indigochute rehearse list\n  indigochute rehearse plan --seed 7 --json",
+		Use:   "rehearse NAME",
+		Short: "Play a subsystem's failures against stand-ins on loopback",
+		Long: "Plays scripted failures against stand-ins, under a minute; scale takes up to two and a half, fewer with fewer directors.\n" +
+			"Ends with 1 where something was seen that should not be.\nrehearse list names what there is.",
+		Example: "  indigochute rehearse list\n  indigochute rehearse plan --seed 7 --json\n  indigochute rehearse scale --directors 60 --control 5",
 		Args:    exactly(1),
 	}
 	seed := c.Flags().Uint64("seed", 1, "of all that is drawn")
 	json := c.Flags().Bool("json", false, "print JSON")
+	var sizes rehearse.Sizes
+	c.Flags().IntVar(&sizes.Directors, "directors", 580, "of scale: 5 to 580")
+	c.Flags().IntVar(&sizes.Control, "control", 9, "of scale: control machines, 3, 5, 7 or 9")
 	c.RunE = func(c *cobra.Command, args []string) error {
 		out := c.OutOrStdout()
 		if args[0] == "list" {
@@ -27,7 +31,11 @@
 			}
 			return nil
 		}
-		r, err := rehearse.Run(args[0], *seed)
+		var sized []rehearse.Sizes
+		if c.Flags().Changed("directors") || c.Flags().Changed("control") {
+			sized = append(sized, sizes)
+		}
+		r, err := rehearse.Run(args[0], *seed, sized...)
 		if err != nil {
 			return err
 		}
@@ -47,6 +55,9 @@
 			for _, v := range r.Violations {
 				fmt.Fprintln(out, "violation:", v)
 			}
+			for _, line := range r.Record {
+				fmt.Fprintln(out, line)
+			}
 		}
 		if err == nil && !r.Passed {
 			err = silent
--- a/lab/hollow/check.go
+++ b/lab/hollow/check.go
@@ -106,7 +106,8 @@
 	began   time.Time
 	latency *hdrhistogram.Histogram // microseconds
 	earlier int                     // notes published before it began, which are not in latency
-	oldest  time.Duration           // the longest that one of those took
+	oldest  time.Duration           // the longest that one of those took,
+	late    time.Duration           // and how long after the beginning the last of them was taken
 }
 
 // NewChecker is an empty one, with a first window.
@@ -311,7 +312,7 @@
 	took := now.Sub(at)
 	if at.Before(w.began) {
 		w.earlier++
-		w.oldest = max(w.oldest, took)
+		w.oldest, w.late = max(w.oldest, took), max(w.late, now.Sub(w.began))
 		return
 	}
 	w.latency.RecordValue(min(max(1, took.Microseconds()), slowest.Microseconds()))
@@ -325,7 +326,8 @@
 	P99     float64 `json:"p99_ms"`
 	Max     float64 `json:"max_ms"`
 	Earlier int     `json:"earlier"`        // notes taken in it that were published before it began: none of those above
-	Oldest  float64 `json:"earlier_max_ms"` // the longest that one of these took
+	Oldest  float64 `json:"earlier_max_ms"` // the longest that one of these took,
+	Late    float64 `json:"earlier_for_ms"` // and how long after the window began the last of them was taken
 }
 
 // Windows tells the latencies of each window so far.
@@ -335,7 +337,7 @@
 	for _, w := range c.windows {
 		ms := func(us int64) float64 { return float64(us) / 1000 }
 		all = append(all, WindowReport{w.name, w.latency.TotalCount(), ms(w.latency.ValueAtQuantile(50)), ms(w.latency.ValueAtQuantile(99)),
-			ms(w.latency.Max()), w.earlier, float64(w.oldest.Microseconds()) / 1000})
+			ms(w.latency.Max()), w.earlier, ms(w.oldest.Microseconds()), ms(w.late.Microseconds())})
 	}
 	return all
 }
--- a/lab/hollow/check_test.go
+++ b/lab/hollow/check_test.go
@@ -143,7 +143,7 @@
 	if len(w) != 2 || w[0].Count != 100 || !near(w[0].P50, 50) || !near(w[0].P99, 99) || !near(w[0].Max, 100) || w[0].Earlier != 0 {
 		t.Errorf("%+v", w)
 	}
-	if w[1].Name != "next" || w[1].Count != 1 || !near(w[1].Max, 500) || w[1].Earlier != 1 || !near(w[1].Oldest, 3000) {
+	if w[1].Name != "next" || w[1].Count != 1 || !near(w[1].Max, 500) || w[1].Earlier != 1 || !near(w[1].Oldest, 3000) || !near(w[1].Late, 2000) {
 		t.Errorf("%+v", w)
 	}
 	for i := range mostWindows {
--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -419,6 +419,9 @@
 		if r.Received*span < 29999 || r.Written*span < 29999 || r.Core*span < 0.199 || r.Resident < 1<<20 {
 			t.Errorf("in %.3f s %+v", span, r)
 		}
+		if segments, bytes := u.Segments(&first); bytes < 60000 || segments < 2 || segments > 1000 {
+			t.Errorf("%g segments, %g bytes in them", segments, bytes)
+		}
 		break
 	}
 	if _, err := UsageOf(1 << 30); err == nil {
--- a/lab/hollow/usage.go
+++ b/lab/hollow/usage.go
@@ -20,7 +20,7 @@
 }
 
 // socketBytes is what passed over one TCP connection, as the system counts it: no headers, nothing sent twice.
-type socketBytes struct{ received, written uint64 }
+type socketBytes struct{ received, written, segments uint64 }
 
 // UsageOf looks at a process, which must be a child of this one or this one itself.
 func UsageOf(pid int) (u Usage, err error) {
@@ -80,7 +80,7 @@
 			continue
 		}
 		if info, err := unix.GetsockoptTCPInfo(own, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == tcpEstablished {
-			all[name] = socketBytes{info.Bytes_received, info.Bytes_acked}
+			all[name] = socketBytes{info.Bytes_received, info.Bytes_acked, uint64(info.Segs_in) + uint64(info.Segs_out)}
 		}
 		unix.Close(own)
 	}
@@ -110,6 +110,18 @@
 	return r
 }
 
+// Segments counts TCP segments since an earlier look, both ways, empty ones as well, and the bytes that they carried.
+// Connections that closed between the two, or were opened, are left out. On loopback a segment holds up to 64 KB.
+func (u *Usage) Segments(e *Usage) (segments, bytes float64) {
+	for name, now := range u.sockets {
+		if was, ok := e.sockets[name]; ok {
+			segments += float64(now.segments - was.segments)
+			bytes += float64(now.received - was.received + now.written - was.written)
+		}
+	}
+	return segments, bytes
+}
+
 // over is the part of one of n.
 func (r Rates) over(n int) Rates {
 	k := float64(n)
