--- a/cmd/indigochute/hollow.go
+++ b/cmd/indigochute/hollow.go
@@ -106,6 +106,16 @@
 		if *beside < 0 || *beside > hollow.MostReal {
 			return wrongCall{fmt.Errorf("--real from 0 to %d is expected", hollow.MostReal)}
 		}
+		for _, n := range *sizes {
+			if n < 2 || n > hollow.MostOfControl {
+				return wrongCall{fmt.Errorf("--sizes from 2 to %d are expected", hollow.MostOfControl)}
+			}
+		}
+		for _, kind := range *kinds {
+			if kind != hollow.Mesh && kind != hollow.Control {
+				return wrongCall{fmt.Errorf("--kinds: %q is neither %s nor %s", kind, hollow.Mesh, hollow.Control)}
+			}
+		}
 		answer := struct {
 			Talks      []*hollow.Talk     `json:"talk"`
 			Comparison *hollow.Comparison `json:"comparison"`
--- a/cmd/indigochute/main_test.go
+++ b/cmd/indigochute/main_test.go
@@ -22,6 +22,8 @@
 		{"", 2, "sage"}, {"--help", 0, "sage"}, {"dance", 2, "sage"}, {"serve twice", 2, "sage"}, {"--loud", 2, "loud"},
 		{"version", 0, "indigochute"}, {"serve", 1, "ROUTER_CONFIG"}, {"check", 2, "sage"},
 		{"check " + empty, 1, "name: missing"}, {"check " + empty + ".not", 1, "no such file"},
+		{"hollow", 2, "sage"}, {"hollow " + empty + ".not", 1, "no such file"}, {"hollow talk --real 99", 2, "--real from 0 to 40"},
+		{"hollow talk --sizes 1", 2, "--sizes from 2 to 580"}, {"hollow talk --sizes 581", 2, "--sizes"}, {"hollow talk --kinds gossip", 2, "gossip"},
 	} {
 		var out, errs bytes.Buffer
 		if code := run(strings.Fields(c.args), &out, &errs); code != c.code || !strings.Contains(out.String()+errs.String(), c.says) {
--- a/lab/hollow/real.go
+++ b/lab/hollow/real.go
@@ -190,21 +190,24 @@
 	return r.over(len(all)), nil
 }
 
-// subscribed waits until directors have so many links to the control machines.
+// subscribed waits until directors have so many links to the control machines, and news go round among these.
 func (in *Installation) subscribed(links int) error {
-	up := 0
-	_, err := Await("links to control machines", talkWithin, func() bool {
+	up, told := 0, 0
+	_, err := Await("links to control machines, and news", talkWithin, func() bool {
 		time.Sleep(200 * time.Millisecond)
-		up = 0
+		up, told = 0, 0
 		for _, addr := range in.Layout.Control {
 			if s, err := crew.One(addr); err == nil {
 				up += s.Bus.Subscribers.Connected
+				if s.Told.Alive > 0 {
+					told++
+				}
 			}
 		}
-		return up == links
+		return up == links && told == len(in.Layout.Control)
 	})
 	if err != nil {
-		return fmt.Errorf("%w: %d of %d are up", err, up, links)
+		return fmt.Errorf("%w: %d of %d are up, %d control machines were told something", err, up, links, told)
 	}
 	return nil
 }
--- a/lab/hollow/talk.go
+++ b/lab/hollow/talk.go
@@ -10,6 +10,7 @@
 
 	"gonum.org/v1/gonum/stat"
 
+	"indigochute.example/indigochute/lab/slopes"
 	"indigochute.example/indigochute/lab/standin"
 )
 
@@ -23,7 +24,7 @@
 	MostOfControl = 580
 	fitUpTo       = 290 // sizes from which slopes are drawn
 	foretellAt    = 580
-	foretellError = 0.15
+	foretellError = slopes.Bound
 )
 
 // Kinds of talk.
--- a/lab/hollow/talk_test.go
+++ b/lab/hollow/talk_test.go
@@ -10,7 +10,7 @@
 
 func meter() *Meter {
 	m := NewMeter(program)
-	m.Control, m.Settle, m.Span = 3, 500*time.Millisecond, 2*time.Second
+	m.Control, m.Settle, m.Span = 3, 500*time.Millisecond, 3*time.Second
 	return m
 }
 
