--- a/crew/follow_test.go
+++ b/crew/follow_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -308,3 +309,44 @@
 		t.Error("nonsense had an effect")
 	}
 }
+
+// After an hour without a link a director gets what it missed at its rate and no faster, in order and whole: the purges of an
+// hour and the last configuration, as the plan has them (docs/CAPACITY.md); here at the largest rate that the file allows.
+func TestCatchUp(t *testing.T) {
+	const purges, rate = 15480, 1e6
+	in := &installation{t: t, text: file(t, 3, 1, "uplink: {spread: 100ms, rate: 1MB/s}\n"), control: map[string]*Crew{},
+		follow: map[string]*Follower{}, taken: map[string][]string{}}
+	for i := range 3 {
+		in.up(fmt.Sprintf("c%d", i))
+	}
+	for i := range purges {
+		if err := in.control["c0"].publish(fmt.Sprintf("%seach/%d", keyNote, i), time.Hour, make([]byte, 60)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 58 {
+		if err := in.control["c0"].publish(keyNote+"configuration", time.Hour, make([]byte, 20000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, c := range in.control {
+		await(t, name+" has all", func() bool { return c.Status().Stream.Counts.Entries == purges+1 })
+	}
+	in.join("d0")
+	await(t, "linked", func() bool { return in.follow["d0"].Status().Uplinks.Active != "" })
+	began := time.Now()
+	await(t, "caught up", func() bool { return in.follow["d0"].Status().Stream.Taken == purges+1 })
+	took, s := time.Since(began), in.follow["d0"].Status()
+	t.Logf("%d bytes, %.1f a purge with its frame, in %v", s.Uplinks.Received, (float64(s.Uplinks.Received)-20000)/purges, took)
+	if got := float64(s.Uplinks.Received); got > 2.2e6 || took.Seconds() < (got-rate)/rate-0.1 || took.Seconds() > got/rate+1 {
+		t.Errorf("%.0f bytes in %v", got, took)
+	}
+	if s.Stream.Short > 0 || s.Stream.Doubled > 0 || s.Stream.Gaps > 0 {
+		t.Errorf("%+v", s.Stream)
+	}
+	for i, key := range in.taken["d0"] {
+		if key != fmt.Sprintf("%seach/%d", keyNote, i) {
+			t.Fatalf("note %d is %s", i, key)
+		}
+	}
+}
--- a/peer/scale_test.go
+++ b/peer/scale_test.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -201,32 +199,3 @@
 	}
 	report(b, before, from, to, many, written2-written, received2-received)
 }
-
-// BenchmarkFrame is what it costs to write a frame and to read it again.
-func BenchmarkFrame(b *testing.B) {
-	for _, size := range []int{60, 2000, 20000} {
-		f := frame{kind: data, from: 1 << 60, to: 1 << 60, topic: "note", payload: make([]byte, size)}
-		raw := f.append(nil)
-		b.Run(fmt.Sprintf("write/bytes=%d", size), func(b *testing.B) {
-			b.SetBytes(int64(len(raw)))
-			b.ReportAllocs()
-			var to []byte
-			for b.Loop() {
-				to = f.append(to[:0])
-			}
-		})
-		b.Run(fmt.Sprintf("read/bytes=%d", size), func(b *testing.B) {
-			b.SetBytes(int64(len(raw)))
-			b.ReportAllocs()
-			from := bytes.NewReader(raw)
-			in := bufio.NewReader(from)
-			for b.Loop() {
-				from.Reset(raw)
-				in.Reset(from)
-				if _, err := read(in, mostFrame); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
-}
--- a/stream/bench_test.go
+++ b/stream/bench_test.go
@@ -37,49 +37,90 @@
 	}
 }
 
-// BenchmarkNext is one note more to one subscriber, which has all others, of a log of N; or, as idle, nothing.
-func BenchmarkNext(b *testing.B) {
-	for _, size := range []int{1000, 4000, 15480} {
+// logSizes are notes kept; the last are an hour's purges of the plan.
+var logSizes = []int{1000, 2000, 4000, 7740, 15480}
+
+func sized(b *testing.B, run func(b *testing.B, n *Node, size int)) {
+	for _, size := range logSizes {
 		n := New(bench(0))
 		fill(b, n, size)
+		b.Run(fmt.Sprintf("notes=%d", size), func(b *testing.B) { run(b, n, size) })
+	}
+}
+
+// BenchmarkScaleStreamNext is one note more to a subscriber that has all others.
+func BenchmarkScaleStreamNext(b *testing.B) {
+	sized(b, func(b *testing.B, n *Node, _ int) {
 		c := n.Subscribe(n.Vector())
-		b.Run(fmt.Sprintf("last=%d", size), func(b *testing.B) {
-			c.follow(n.store)
-			last := &c.places[8]
-			for b.Loop() {
-				last.at = last.log.head - 1
-				if len(n.Next(0, c, 16<<10)) != 1 {
-					b.Fatal("not one note")
-				}
+		c.follow(n.store)
+		last := &c.places[8]
+		for b.Loop() {
+			last.at = last.log.head - 1
+			if len(n.Next(0, c, 16<<10)) != 1 {
+				b.Fatal("not one note")
 			}
-		})
-		b.Run(fmt.Sprintf("idle=%d", size), func(b *testing.B) {
-			for b.Loop() {
-				if len(n.Next(0, c, 16<<10)) != 0 {
-					b.Fatal("a note to one that has all")
-				}
+		}
+	})
+}
+
+// BenchmarkScaleStreamIdle is nothing more to a subscriber that has all.
+func BenchmarkScaleStreamIdle(b *testing.B) {
+	sized(b, func(b *testing.B, n *Node, _ int) {
+		c := n.Subscribe(n.Vector())
+		for b.Loop() {
+			if len(n.Next(0, c, 16<<10)) != 0 {
+				b.Fatal("a note to one that has all")
 			}
-		})
-		b.Run(fmt.Sprintf("all=%d", size), func(b *testing.B) {
-			for b.Loop() {
-				sent := 0
-				for c := n.Subscribe(nil); ; {
-					list := n.Next(0, c, 16<<10)
-					if sent += len(list); len(list) == 0 {
-						break
-					}
+		}
+	})
+}
+
+// BenchmarkScaleStreamCatchUp is all that is kept to a subscriber that has nothing, encoded; what that comes to in bytes, without
+// frames and headers, is told as B/msg.
+func BenchmarkScaleStreamCatchUp(b *testing.B) {
+	sized(b, func(b *testing.B, n *Node, size int) {
+		bytes := 0
+		for b.Loop() {
+			sent := 0
+			bytes = 0
+			for c := n.Subscribe(nil); ; {
+				list := n.Next(0, c, 16<<10)
+				if len(list) == 0 {
+					break
 				}
-				if sent != size {
-					b.Fatalf("%d notes sent of %d", sent, size)
+				sent += len(list)
+				bytes += len(AppendNotes(nil, list))
+			}
+			if sent != size {
+				b.Fatalf("%d notes sent of %d", sent, size)
+			}
+		}
+		b.ReportMetric(float64(bytes), "B/msg")
+	})
+}
+
+// BenchmarkScaleStreamPublish is at one of nine control machines with a full log, each note with a key of its own, so that
+// the oldest makes room.
+func BenchmarkScaleStreamPublish(b *testing.B) {
+	for _, size := range logSizes {
+		b.Run(fmt.Sprintf("notes=%d", size), func(b *testing.B) {
+			c := bench(0)
+			c.MostEntries = size
+			n := New(c)
+			fill(b, n, size)
+			payload := make([]byte, 60)
+			for i := 0; b.Loop(); i++ {
+				if out, err := n.Publish(0, fmt.Sprintf("note/other/%d", i), time.Hour, payload); err != nil || len(out) != 8 {
+					b.Fatal(len(out), err)
 				}
 			}
 		})
 	}
 }
 
-// BenchmarkTake is a reader's, of N origins in turn.
-func BenchmarkTake(b *testing.B) {
-	for _, origins := range []int{3, 9} {
+// BenchmarkScaleStreamTake is a reader's, of so many origins in turn.
+func BenchmarkScaleStreamTake(b *testing.B) {
+	for _, origins := range []int{3, 5, 9} {
 		b.Run(fmt.Sprintf("origins=%d", origins), func(b *testing.B) {
 			r := NewReader(bench(0).Origins)
 			n := Note{Epoch: 1, Key: "note/purge", Life: time.Hour}
@@ -94,32 +135,3 @@
 }
 
 var bench9 = bench(0).Origins
-
-// BenchmarkPublish is at one of nine control machines with a log of N, each note with a key of its own, so that the oldest
-// makes room; keep=N supersedes.
-func BenchmarkPublish(b *testing.B) {
-	for _, size := range []int{1000, 15480} {
-		for _, own := range []bool{true, false} {
-			name := fmt.Sprintf("keep=%d", size)
-			if own {
-				name = fmt.Sprintf("each=%d", size)
-			}
-			b.Run(name, func(b *testing.B) {
-				c := bench(0)
-				c.MostEntries = size
-				n := New(c)
-				fill(b, n, size)
-				payload := make([]byte, 60)
-				for i := 0; b.Loop(); i++ {
-					key := i
-					if !own {
-						key %= size / 2
-					}
-					if out, err := n.Publish(0, fmt.Sprintf("note/other/%d", key), time.Hour, payload); err != nil || len(out) != 8 {
-						b.Fatal(len(out), err)
-					}
-				}
-			})
-		}
-	}
-}
