Rehearsal of scale: a pause counts real directors, and a drop waits for their links as well

Cause: with five directors all hollow ones may take notes from the keeper, and links of real directors were not waited for. Change: real directors are asked for what they follow, and asked again where the answer is late.

--- a/lab/rehearse/scale_faults.go
+++ b/lab/rehearse/scale_faults.go
@@ -171,7 +171,7 @@
 	cut -= before
 	seen := ""
 	took, err := s.r.Await("two links of every director again", takeover, func() bool {
-		return len(s.answers(pattern, from)) >= 2*s.p.Hollow && s.linked()
+		return len(s.answers(pattern, from)) >= 2*s.o.Directors && s.linked()
 	})
 	if err == nil && cut >= 2*s.p.Hollow {
 		seen = fmt.Sprintf("%d of %d links were reset, %d were dialled anew; after %.2f s all directors had two", cut, open,
@@ -190,18 +190,18 @@
 	if err != nil {
 		return err
 	}
-	before, err := s.h.Report(1)
+	before, err := s.active()
 	if err != nil {
 		return err
 	}
 	var some []*rig.Proc // that directors take notes from
 	for _, p := range s.control() {
-		if p != k && before.Active[p.Name] > 0 {
+		if p != k && before[p.Name] > 0 {
 			some = append(some, p)
 		}
 	}
 	if len(some) == 0 {
-		return fmt.Errorf("directors take notes from the keeper alone: %v", before.Active)
+		return fmt.Errorf("directors take notes from the keeper alone: %v", before)
 	}
 	p := some[s.chance.IntN(len(some))]
 	end := s.befell(p.Name + " paused")
@@ -209,13 +209,13 @@
 		return err
 	}
 	time.Sleep(s.t.pause)
-	after, err := s.h.Report(1)
+	after, err := s.active()
 	if err != nil {
 		return err
 	}
 	seen := ""
-	if after.Active[p.Name] == 0 && !p.Runs() {
-		seen = fmt.Sprintf("%d directors took notes from %s before, none does now", before.Active[p.Name], p.Name)
+	if after[p.Name] == 0 && !p.Runs() {
+		seen = fmt.Sprintf("%d directors took notes from %s before, none does now", before[p.Name], p.Name)
 	}
 	if err := p.Wake(); err != nil {
 		return err
@@ -225,6 +225,22 @@
 	return nil
 }
 
+// active is how many directors, hollow and real, take notes from each control machine.
+func (s *scaled) active() (map[string]int, error) {
+	rep, err := s.h.Report(1)
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range s.r.Procs[len(s.l.control):] {
+		st, err := s.follower(p)
+		if err != nil {
+			return nil, err
+		}
+		rep.Active[st.Uplinks.Active]++
+	}
+	return rep.Active, nil
+}
+
 // answers are the times after one at which connections over links of a pattern were answered first.
 func (s *scaled) answers(pattern string, after time.Time) (all []time.Time) {
 	for _, k := range s.r.Net.Links(pattern) {
--- a/lab/rehearse/scale_finish.go
+++ b/lab/rehearse/scale_finish.go
@@ -1,10 +1,13 @@
 package rehearse
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
+	"indigochute.example/indigochute/crew"
 	"indigochute.example/indigochute/lab/hollow"
+	"indigochute.example/indigochute/lab/rig"
 )
 
 // finish takes what is left to be looked at.
@@ -46,19 +49,33 @@
 // real takes what real directors tell of notes.
 func (s *scaled) real() error {
 	for _, p := range s.r.Procs[len(s.l.control):] {
-		st, err := p.Status()
+		st, err := s.follower(p)
 		if err != nil {
-			return fmt.Errorf("asking %s: %w", p.Name, err)
+			return err
 		}
-		if st.Follower == nil {
-			return fmt.Errorf("%s tells nothing of what it follows", p.Name)
-		}
-		c := st.Follower.Stream
+		c := st.Stream
 		s.p.Real[p.Name] = realCounts{Taken: c.Taken, Doubled: c.Doubled, Short: c.Short}
 	}
 	return nil
 }
 
+// follower is what a real director tells of what it follows.
+func (s *scaled) follower(p *rig.Proc) (*crew.FollowerStatus, error) {
+	var st *crew.Status
+	var err error
+	s.r.Await("an answer of "+p.Name, takeover, func() bool { // which may be late on a machine that is busy
+		st, err = p.Status()
+		return err == nil
+	})
+	if err == nil && st.Follower == nil {
+		err = errors.New("it follows nobody")
+	}
+	if err != nil {
+		return nil, fmt.Errorf("asking %s: %w", p.Name, err)
+	}
+	return st.Follower, nil
+}
+
 // tell records what was played.
 func (s *scaled) tell(rep *hollow.Report) {
 	for _, f := range s.p.Faults {
