--- a/peer/bus.go
+++ b/peer/bus.go
@@ -6,6 +6,9 @@
 // more must repeat it. It may come late, but never to or from another life of an instance than it was meant for: every
 // frame carries the incarnations of both ends.
 //
+// Beside the instances, which are peers, a bus may have subscribers: any number of listed names that dial it, say little
+// and are told what a Publisher has for them. Uplinks are their side of it: links to two of those that publish.
+//
 // There is no TLS and no sign-in: names are believed. It is for closed networks only.
 package peer
 
--- a/peer/subscriber_test.go
+++ b/peer/subscriber_test.go
@@ -378,6 +378,38 @@
 	}
 }
 
+// stuck is a publisher whose Next waits until it is let go.
+type stuck struct {
+	board
+	let chan struct{}
+	was chan struct{}
+}
+
+func (p *stuck) Next(s *Subscriber) (string, []byte) {
+	p.was <- struct{}{}
+	<-p.let
+	return p.board.Next(s)
+}
+
+// A subscriber is gone after the last call that is about it, however long that takes.
+func TestGoneComesLast(t *testing.T) {
+	p := &stuck{let: make(chan struct{}), was: make(chan struct{}, 100)}
+	a, _ := machine(t, "a", func(o *Options) { o.Publisher = p })
+	defer a.Close()
+	r := subscribe(t, a, "d", 1)
+	<-p.was
+	r.Close()
+	time.Sleep(100 * time.Millisecond)
+	p.mu.Lock()
+	if len(p.gone) > 0 {
+		t.Error("gone while Next ran")
+	}
+	p.mu.Unlock()
+	close(p.let)
+	eventually(t, "gone", func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.gone) == 1 })
+	p.check(t, 0)
+}
+
 // Waking many never blocks, whatever they do.
 func TestWakeNeverBlocks(t *testing.T) {
 	names := make([]string, 130)
@@ -422,3 +454,33 @@
 		}
 	}
 }
+
+// Bytes are counted as they come: of subscribers, payloads with their frames; of peers, pings and pongs. A payload that is
+// too long is left out.
+func TestBytesAreCounted(t *testing.T) {
+	atB := free(t)
+	a, p := machine(t, "a", func(o *Options) { o.Peers = map[string]string{"b": atB} })
+	defer a.Close()
+	b := open(t, "b", atB, map[string]string{"a": a.Addr()}, &heard{})
+	defer b.Close()
+	r := subscribe(t, a, "d", 100)
+	r.greet(100)
+	p.publish(a, "first", strings.Repeat("x", MostPayload+1), "last")
+	var got, frames int64
+	for last := false; !last; {
+		r.SetReadDeadline(time.Now().Add(2 * time.Second))
+		f, err := read(r.in, mostFrame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, frames, last = got+int64(len(f.append(nil))), frames+1, string(f.payload) == "last"
+	}
+	eventually(t, "counted", func() bool { s := a.Status().Subscribers; return s.Bytes >= got && s.Frames >= frames })
+	if s := a.Status().Subscribers; s.Bytes > got+40 || s.Frames > frames+2 || s.Oversize != 1 {
+		t.Errorf("%+v, where %d bytes and %d frames came", s, got, frames)
+	}
+	eventually(t, "pongs", func() bool { return a.Status().Pongs >= 40 && b.Status().Pongs >= 40 })
+	if n := a.Status().Pongs; n > 400 {
+		t.Errorf("%d bytes of pongs", n)
+	}
+}
--- a/peer/uplink_test.go
+++ b/peer/uplink_test.go
@@ -474,6 +474,65 @@
 	eventually(t, "none", func() bool { s := u.Status(); return s.Up == 0 && s.Active == "" && s.Without > 0 && len(s.Links) == 0 })
 }
 
+// serve hands each connection to a function.
+func serve(t *testing.T, do func(nc net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go do(nc)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A machine that is right until the hello is over and then sends what it should not loses the link; nothing bad is handed up.
+func TestNonsenseOfControl(t *testing.T) {
+	note := func(from, to uint64) []byte {
+		f := frame{kind: data, from: from, to: to, topic: "note", payload: []byte("payload")}
+		return f.append(nil)
+	}
+	for _, c := range []struct {
+		what string
+		then func(me uint64) []byte
+		good bool
+	}{
+		{"right", func(me uint64) []byte { return note(9, me) }, true},
+		{"of an earlier life", func(me uint64) []byte { return note(8, me) }, false},
+		{"to an earlier life", func(me uint64) []byte { return note(9, me-1) }, false},
+		{"to nobody", func(me uint64) []byte { return note(9, 0) }, false},
+		{"garbled", func(me uint64) []byte { b := note(9, me); b[len(b)-1]++; return b }, false},
+		{"too long", func(uint64) []byte { return bytes.Repeat([]byte{0xff}, headSize) }, false},
+		{"a question", func(uint64) []byte { f := frame{kind: ask, topic: "note"}; return f.append(nil) }, false},
+		{"cut", func(me uint64) []byte { return note(9, me)[:12] }, false},
+	} {
+		addr := serve(t, func(nc net.Conn) {
+			defer nc.Close()
+			f := hear(nc)
+			back := frame{kind: hello, version: version, name: "a", from: 9, to: f.from}
+			nc.Write(back.append(nil))
+			hear(nc) // so that the link is up and active there before what follows comes
+			time.Sleep(50 * time.Millisecond)
+			nc.Write(c.then(f.from))
+			time.Sleep(100 * time.Millisecond)
+		})
+		var r reader
+		u := uplinks("d", "north", 0, &r, in("north", "north1", "a", addr))
+		eventually(t, "up and lost", func() bool { return u.Status().Choice.Lost > 0 })
+		u.Close()
+		if got := r.count(); c.good && got == 0 || !c.good && got > 0 {
+			t.Errorf("%s: %d messages handed up", c.what, got)
+		}
+	}
+}
+
 // Machines that refuse, that are others than they should be, that hang or say nonsense are passed over.
 func TestUplinksPassOver(t *testing.T) {
 	good, _ := machine(t, "good", nil)
@@ -482,49 +541,15 @@
 	defer refuses.Close()
 	other, _ := machine(t, "somebody", nil)
 	defer other.Close()
-	serve := func(do func(nc net.Conn)) string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				nc, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go do(nc)
-			}
-		}()
-		return l.Addr().String()
-	}
-	hangs := serve(func(nc net.Conn) { time.Sleep(10 * time.Second); nc.Close() })
-	garbles := serve(func(nc net.Conn) {
+	hangs := serve(t, func(nc net.Conn) { time.Sleep(10 * time.Second); nc.Close() })
+	garbles := serve(t, func(nc net.Conn) {
 		defer nc.Close()
 		nc.Write(bytes.Repeat([]byte("x"), 100))
 	})
-	// One that is right until the hello is over, and then sends what it should not.
-	bad := func(name string, then func(me uint64) []byte) string {
-		return serve(func(nc net.Conn) {
-			defer nc.Close()
-			f := hear(nc)
-			back := frame{kind: hello, version: version, name: name, from: 9, to: f.from}
-			nc.Write(append(back.append(nil), then(f.from)...))
-			time.Sleep(100 * time.Millisecond)
-		})
-	}
-	old := bad("old", func(me uint64) []byte {
-		f := frame{kind: data, from: 8, to: me, topic: "note", payload: []byte("of an earlier life")}
-		return f.append(nil)
-	})
-	huge := bad("huge", func(uint64) []byte { return bytes.Repeat([]byte{0xff}, 8) })
-	asks := bad("asks", func(uint64) []byte { f := frame{kind: ask}; return f.append(nil) })
 	var r reader
 	u := uplinks("d", "north", 0, &r, in("north", "a", "refuses", refuses.Addr()), in("north", "b", "other", other.Addr()),
 		in("north", "c", "nobody", free(t)), in("north", "d", "hangs", hangs), in("north", "e", "garbles", garbles),
-		in("north", "f", "old", old), in("north", "g", "huge", huge), in("north", "h", "asks", asks),
-		in("south", "i", "good", good.Addr()))
+		in("south", "f", "good", good.Addr()))
 	defer u.Close()
 	eventually(t, "the good one", func() bool { return u.Status().Active == "good" })
 	eventually(t, "all were tried", func() bool {
@@ -605,3 +630,33 @@
 	}()
 	eventually(t, "no goroutine is left", func() bool { return runtime.NumGoroutine() <= before })
 }
+
+// A greeting of nothing is not written; one that is too long is not either, and is counted.
+func TestGreetings(t *testing.T) {
+	a, p := machine(t, "a", nil)
+	defer a.Close()
+	var mu sync.Mutex
+	var next []byte
+	say := func(payload []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		next = payload
+	}
+	u := OpenUplinks(UplinkOptions{Me: "d", Control: []Machine{in("north", "north1", "a", a.Addr())}, Heard: func(string, []byte) {},
+		Greeting: func() (string, []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			return "hello", next
+		}})
+	defer u.Close()
+	eventually(t, "up", func() bool { return u.Status().Up == 1 })
+	say(make([]byte, mostSubscriber))
+	u.Again()
+	eventually(t, "too long", func() bool { return u.Status().Oversize == 1 })
+	say([]byte("5"))
+	u.Again()
+	eventually(t, "told", func() bool { return p.said("d:hello:5") == 1 })
+	if s := u.Status(); p.said("d") != 1 || s.Greeted != 1 || s.Choice.Lost > 0 {
+		t.Errorf("%v, %+v", p.heard, s)
+	}
+}
--- a/stream/choice.go
+++ b/stream/choice.go
@@ -430,7 +430,8 @@
 }
 
 // wanted are the two machines to be kept: the best two, as far as they are at hand or have been without fault for a while.
-// For one that is not, those linked now will do, unless others are less alike. "" twice: there are no two.
+// For one that is not, those linked now will do, unless others are less alike: the active link in the place of the first,
+// so that no subscription moves to a stand-in. "" twice: there are no two.
 func (h *Choice) wanted(now time.Duration) (first, second string) {
 	var list []string // the linked ones before those that may be tried
 	for _, linked := range [2]bool{true, false} {
@@ -471,7 +472,7 @@
 		h.try(now, first)
 	case t.state == Vacant && !kept(second):
 		h.try(now, second)
-	case t.state == Vacant && h.active != first && first == h.order[0]: // for a stand-in of it nothing is moved
+	case t.state == Vacant && h.active != first:
 		// The former machine goes on writing to its subscriber until the connection ends, so it is dialled anew.
 		was := h.at(h.active, Linked)
 		h.do(Activate, first)
--- a/stream/choice_test.go
+++ b/stream/choice_test.go
@@ -515,6 +515,59 @@
 	}
 }
 
+// Where there are three regions, two links are never in one, also not while the best two are back and one of them has taken
+// the place of a stand-in.
+func TestNeverAlike(t *testing.T) {
+	all := []Machine{{"a", Place{"r0", "z0", "s0"}}, {"b", Place{"r0", "z1", "s1"}}, {"c", Place{"r1", "z2", "s2"}},
+		{"d", Place{"r2", "z3", "s3"}}}
+	places := map[string]Place{}
+	for _, m := range all {
+		places[m.Name] = m.Place
+	}
+	for i := range 200 {
+		me := fmt.Sprint("d", i)
+		first, second := best(me, all[0].Place, all)
+		f := follow(t, me, all[0].Place, uint64(i), 0, all)
+		outages := []outage{{first, 20 * time.Second, 21 * time.Second, false}, {second, 20 * time.Second, 21 * time.Second, false}}
+		for at := 10 * time.Second; at < 2*time.Minute; at += 100 * time.Millisecond {
+			f.run(at, outages)
+			names := slices.Sorted(maps.Keys(f.held))
+			if f.up() == 2 && len(names) == 2 && Unlike(places[names[0]], places[names[1]]) < 3 {
+				t.Fatalf("%s at %v: %v", me, at, names)
+			}
+		}
+		if f.active != first || f.held[second] != Linked || f.c.Counts().Moves == 0 {
+			t.Errorf("%s: %v, active %s; best are %s, %s", me, f.held, f.active, first, second)
+		}
+	}
+}
+
+// A machine is passed over for longer with each fault in a row; having been up for long ends the row.
+func TestPassedOver(t *testing.T) {
+	c := NewChoice(ChoiceConfig{Me: "d", Seed: 1}, []Machine{{Name: "a"}}, 0)
+	now := time.Duration(0)
+	passed := func(upFor time.Duration) (span time.Duration) {
+		for c.Links()["a"] != Dialling {
+			now = c.Next(now)
+			c.Tick(now)
+		}
+		c.Up(now, "a")
+		now += upFor
+		c.Lost(now, "a")
+		for span = 0; c.Passed(now+span, "a"); span += time.Millisecond {
+		}
+		return span
+	}
+	c.Tick(now)
+	for i, upFor := range []time.Duration{1, 1, 1, 1, 1, 10, 1} {
+		span := passed(upFor * time.Second)
+		least := [...]time.Duration{500, 1000, 2000, 2500, 2500, 500, 1000}[i] * time.Millisecond
+		if span < least || span > 2*least+time.Millisecond {
+			t.Errorf("fault %d: passed over for %v, not %v to %v", i, span, least, 2*least)
+		}
+	}
+}
+
 // Inputs in any order, also those that do not fit, and lists that change: after each step what it holds is as it said, and
 // after a while of peace the best two are linked and the first is active.
 func TestRandomChoices(t *testing.T) {
@@ -586,3 +639,28 @@
 		t.Errorf("%v\n%v\n%v", a, b, c)
 	}
 }
+
+// A machine that is listed anew gets its directors over tens of seconds, not all at once.
+func TestNewMachine(t *testing.T) {
+	all := nine()
+	perSecond, moved := map[time.Duration]int{}, 0
+	for i := range 580 {
+		me := fmt.Sprint("d", i)
+		f := follow(t, me, site(i), uint64(i), 0, all[1:])
+		f.run(time.Minute, nil)
+		dials := len(f.dials)
+		f.take(f.c.List(f.now, all), true)
+		f.run(3*time.Minute, nil)
+		first, second := best(me, site(i), all)
+		if f.active != first || f.held[second] != Linked || f.without > 0 {
+			t.Errorf("%s: %v, active %s; best are %s, %s; without a link for %v", me, f.held, f.active, first, second, f.without)
+		}
+		if len(f.dials) > dials {
+			moved++
+			perSecond[(f.dials[dials]-time.Minute)/time.Second]++
+		}
+	}
+	if moved < 80 || most(perSecond) > moved/6 || perSecond[0] > 0 {
+		t.Errorf("%d moved, by second %v", moved, perSecond)
+	}
+}
