Notes of one key by several origins carry a fencing number; an old owner's is passed over

Change: Note.Fence; a reader knows the highest it took of 1,024 keys and passes lower ones over (Superseded), a control machine keeps none of those. The rehearsal judged stale notes of another origin apart, without a budget; it now asks for none of any kind.

--- a/crew/control.go
+++ b/crew/control.go
@@ -81,10 +81,10 @@
 // Gone is told once a director's connection has ended. Nothing of it is kept.
 func (c *Crew) Gone(*peer.Subscriber) {}
 
-// publish tells all directors.
-func (c *Crew) publish(key string, life time.Duration, payload []byte) error {
+// publish tells all directors. Of what several publish under one key, one after the other, the fencing number tells which is newer.
+func (c *Crew) publish(key string, fence uint64, life time.Duration, payload []byte) error {
 	c.mu.Lock()
-	out, err := c.stream.Publish(c.now(), key, life, payload)
+	out, err := c.stream.PublishFenced(c.now(), key, fence, life, payload)
 	c.mu.Unlock()
 	if err != nil {
 		return err
@@ -185,9 +185,8 @@
 	binary.BigEndian.PutUint64(payload, uint64(time.Now().UnixNano()))
 	binary.BigEndian.PutUint64(payload[8:], r.o.Run)
 	binary.BigEndian.PutUint64(payload[16:], fence)
-	key := keyNote + d.Name
-	if d.Keep != "last" {
-		key = fmt.Sprintf("%s/%d/%d", key, fence, r.o.Run)
+	if key := keyNote + d.Name; d.Keep == "last" {
+		return c.publish(key, fence, d.Life.D(), payload)
 	}
-	return c.publish(key, d.Life.D(), payload)
+	return c.publish(fmt.Sprintf("%s%s/%d/%d", keyNote, d.Name, fence, r.o.Run), 0, d.Life.D(), payload)
 }
--- a/crew/follow_test.go
+++ b/crew/follow_test.go
@@ -320,12 +320,12 @@
 		in.up(fmt.Sprintf("c%d", i))
 	}
 	for i := range purges {
-		if err := in.control["c0"].publish(fmt.Sprintf("%seach/%d", keyNote, i), time.Hour, make([]byte, 60)); err != nil {
+		if err := in.control["c0"].publish(fmt.Sprintf("%seach/%d", keyNote, i), 0, time.Hour, make([]byte, 60)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	for range 58 {
-		if err := in.control["c0"].publish(keyNote+"configuration", time.Hour, make([]byte, 20000)); err != nil {
+		if err := in.control["c0"].publish(keyNote+"configuration", 1, time.Hour, make([]byte, 20000)); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/crew/task.go
+++ b/crew/task.go
@@ -219,7 +219,7 @@
 	c.learn(c.now(), 0, &n)
 	b := duty.AppendNews(nil, &n)
 	if c.stream != nil {
-		return c.publish(keyNews+n.Duty, newsLive*d.Period.D(), b)
+		return c.publish(keyNews+n.Duty, n.Fence, newsLive*d.Period.D(), b)
 	}
 	c.bus.All(topicNews, b)
 	return nil
--- a/lab/rehearse/scale.go
+++ b/lab/rehearse/scale.go
@@ -113,7 +113,6 @@
 	"worst_window: the worst ten seconds, or all of a shorter play",
 	"note_beside_faults: the largest of all phases with a fault; what was published before a region was joined again counts " +
 		"from there, as catch_up_s",
-	"notes_of_old_owners: taken after a newer one of a later owner of the duty; duty.Board lets these say nothing",
 }
 
 // startScale brings control machines, real directors and hollow ones up, and waits until all have their links.
--- a/lab/rehearse/scale_judge.go
+++ b/lab/rehearse/scale_judge.go
@@ -170,10 +170,8 @@
 		r.violated("no small note was published that all should have")
 	}
 	r.bounded("notes_doubled", float64(p.Taken.Doubled+p.Taken.Disordered), 0, "notes")
-	// The stream keeps the order of one origin's notes. Of two owners of a duty, as where one was cut off and is joined again,
-	// the fencing number decides, as in duty.Board: an old owner's note may come after a newer one's, and says nothing.
-	r.bounded("notes_stale", float64(p.Taken.Stale-p.Taken.Crossed), 0, "notes")
-	r.Figures["notes_of_old_owners"] = float64(p.Taken.Crossed)
+	// Also of two owners of a duty, as where one was cut off and is joined again: the old one's notes come under a lower fence.
+	r.bounded("notes_stale", float64(p.Taken.Stale), 0, "notes")
 	r.bounded("notes_unread", float64(p.Taken.Unread), 0, "notes")
 	r.bounded("notes_missed", float64(p.Missing.Pairs), 0, "times that a director lacks a note")
 	r.bounded("directors_behind", float64(p.Missing.Behind), 0, "times that a director lacks the newest of a key")
--- a/lab/rehearse/scale_test.go
+++ b/lab/rehearse/scale_test.go
@@ -142,7 +142,8 @@
 	}{
 		{"a double", func(p *played) { p.Taken.Doubled++ }, "notes_doubled: 1 "},
 		{"a number out of order", func(p *played) { p.Taken.Disordered++ }, "notes_doubled: 1 "},
-		{"a stale note", func(p *played) { p.Taken.Stale, p.Taken.Crossed = 3, 2 }, "notes_stale: 1 "},
+		{"a stale note", func(p *played) { p.Taken.Stale = 1 }, "notes_stale: 1 "},
+		{"stale notes of old owners", func(p *played) { p.Taken.Stale, p.Taken.Crossed = 3, 3 }, "notes_stale: 3 "},
 		{"a note that cannot be read", func(p *played) { p.Taken.Unread++ }, "notes_unread: 1 "},
 		{"a miss", func(p *played) {
 			p.Missing.Pairs, p.Missing.List = 1, []hollow.Lack{{Director: "d7", Key: "note/small", Fence: 3, Run: 9}}
--- a/stream/encode.go
+++ b/stream/encode.go
@@ -85,8 +85,9 @@
 	b = msgpack.AppendList(b, len(list))
 	for i := range list {
 		n := &list[i]
-		b = msgpack.AppendUint(msgpack.AppendText(msgpack.AppendList(b, 9), n.Origin), n.Epoch)
+		b = msgpack.AppendUint(msgpack.AppendText(msgpack.AppendList(b, 10), n.Origin), n.Epoch)
 		b = msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendUint(b, n.Number), n.Prev), n.Short)
+		b = msgpack.AppendUint(b, n.Fence)
 		b = msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendText(b, n.Key), life(n.Life)), age(n.Age))
 		b = msgpack.AppendBytes(b, n.Payload)
 	}
@@ -109,8 +110,8 @@
 		if v.Err() != nil {
 			break
 		}
-		v.record(9)
-		n := Note{Origin: v.Text(MostName), Epoch: v.Uint(), Number: v.Uint(), Prev: v.Uint(), Short: v.Uint(), Key: v.Text(MostKey)}
+		v.record(10)
+		n := Note{Origin: v.Text(MostName), Epoch: v.Uint(), Number: v.Uint(), Prev: v.Uint(), Short: v.Uint(), Fence: v.Uint(), Key: v.Text(MostKey)}
 		n.Life, n.Age = span(), span()
 		n.Payload = v.Bytes(MostPayload)
 		list = append(list, n)
--- a/stream/encode_test.go
+++ b/stream/encode_test.go
@@ -13,7 +13,7 @@
 
 func anyNote(chance *rand.Rand) Note {
 	n := Note{Origin: strings.Repeat("o", 1+chance.IntN(MostName)), Epoch: chance.Uint64() >> chance.IntN(64), Number: chance.Uint64() >> chance.IntN(64),
-		Prev: chance.Uint64() >> chance.IntN(64), Short: chance.Uint64() >> chance.IntN(64), Key: strings.Repeat("k", chance.IntN(MostKey+1)),
+		Prev: chance.Uint64() >> chance.IntN(64), Short: chance.Uint64() >> chance.IntN(64), Fence: chance.Uint64() >> chance.IntN(64), Key: strings.Repeat("k", chance.IntN(MostKey+1)),
 		Life: time.Duration(chance.Int64N(int64(MostLife/time.Microsecond))) * time.Microsecond,
 		Age:  time.Duration(chance.Int64N(int64(MostLife/time.Microsecond))) * time.Microsecond}
 	if size := chance.IntN(300); size > 0 {
--- a/stream/log.go
+++ b/stream/log.go
@@ -14,6 +14,7 @@
 	arrival uint64 // rises over all that the store has kept
 	until   time.Duration
 	life    time.Duration
+	fence   uint64
 	key     string
 	payload []byte
 	gone    bool // superseded, expired or evicted: its place in a list or heap has not been cleared yet
@@ -150,7 +151,7 @@
 		s.remove(old)
 	}
 	s.arrivals++
-	e := &entry{log: l, number: n.Number, arrival: s.arrivals, until: now + n.Life - n.Age, life: n.Life, key: n.Key, payload: n.Payload}
+	e := &entry{log: l, number: n.Number, arrival: s.arrivals, until: now + n.Life - n.Age, life: n.Life, fence: n.Fence, key: n.Key, payload: n.Payload}
 	for s.entries > 0 && (s.entries >= s.mostEntries || s.bytes+e.size() > s.mostBytes) {
 		s.evictOldest()
 	}
@@ -230,7 +231,7 @@
 
 // note is an entry as it is sent to somebody who has all up to prev.
 func (l *epochLog) note(now time.Duration, e *entry, prev uint64) Note {
-	return Note{Origin: l.origin, Epoch: l.epoch, Number: e.number, Prev: prev, Short: l.short(prev, e.number), Key: e.key,
+	return Note{Origin: l.origin, Epoch: l.epoch, Number: e.number, Prev: prev, Short: l.short(prev, e.number), Key: e.key, Fence: e.fence,
 		Life: e.life, Age: max(0, e.life-(e.until-now)), Payload: e.payload}
 }
 
--- a/stream/node.go
+++ b/stream/node.go
@@ -66,6 +66,11 @@
 // Publish adds a note of this node's own, which lives for a span from now on, and tells all others: the messages differ in To
 // alone. The payload is copied. What no note can be is refused.
 func (n *Node) Publish(now time.Duration, key string, life time.Duration, payload []byte) ([]Message, error) {
+	return n.PublishFenced(now, key, 0, life, payload)
+}
+
+// PublishFenced is Publish of a note that gives way to one with a higher fencing number, whoever publishes that.
+func (n *Node) PublishFenced(now time.Duration, key string, fence uint64, life time.Duration, payload []byte) ([]Message, error) {
 	switch {
 	case key == "" || len(key) > MostKey:
 		return nil, fmt.Errorf("stream: a key of %d bytes: 1 to %d are expected", len(key), MostKey)
@@ -77,7 +82,7 @@
 	n.store.expire(now)
 	l := n.own
 	l.head++
-	n.store.add(now, l, &Note{Number: l.head, Key: key, Life: life, Payload: slices.Clone(payload)})
+	n.store.add(now, l, &Note{Number: l.head, Key: key, Fence: fence, Life: life, Payload: slices.Clone(payload)})
 	n.counts.Published++
 	prev := uint64(0)
 	if k := len(l.entries); k > 1 {
@@ -368,7 +373,7 @@
 	}
 	at := n.position(x.Origin, x.Epoch)
 	v := n.reader.Take(x)
-	if v != Taken && v != Expired {
+	if v != Taken && v != Expired && v != Superseded {
 		return v
 	}
 	l := n.store.open(x.Origin, x.Epoch)
@@ -380,6 +385,9 @@
 		n.counts.Superseded++
 		return Expired
 	}
+	if v == Superseded {
+		return Expired
+	}
 	return v
 }
 
@@ -409,6 +417,7 @@
 func (n *Node) Counts() Counts {
 	c, r := n.counts, n.reader.counts
 	c.Taken += r.Taken - c.Superseded
+	c.Superseded += r.Superseded
 	c.Doubled, c.Gaps, c.Expired = c.Doubled+r.Doubled, c.Gaps+r.Gaps, c.Expired+r.Expired
 	c.Strange, c.Old, c.Short = c.Strange+r.Strange, c.Old+r.Old, c.Short+r.Short
 	c.Evicted, c.Entries, c.Bytes = n.store.evicted, n.store.entries, n.store.bytes
--- a/stream/note.go
+++ b/stream/note.go
@@ -10,6 +10,9 @@
 // further back has a gap, takes nothing, and asks again from where it is. So within an origin and epoch notes are taken in
 // order, none twice, and none is missed but those that were superseded, expired, or are marked as lost (Note.Short).
 //
+// Between origins there is no order. Where several publish under one key, as the owners of a duty do one after the other, a note's
+// fencing number tells which is newer: a reader passes an old owner's over once it took a newer one's.
+//
 // Nothing is kept over a restart of a control machine: it begins a new epoch with an empty log and asks the others. What it
 // had published last and none had received is lost with it.
 package stream
@@ -65,7 +68,8 @@
 	Number  uint64        // 1, 2, ... within the epoch
 	Prev    uint64        // all in (Prev, Number) were superseded or have expired at the sender
 	Short   uint64        // but some up to this number, in (Prev, Number], were evicted and are lost; 0: none
-	Key     string        // a newer note of the same origin and key supersedes this one
+	Key     string        // a newer note of the same origin and key supersedes this one,
+	Fence   uint64        // and so does one of any origin with the same key and a higher fencing number; 0: it has none
 	Life    time.Duration // from when it was published
 	Age     time.Duration // spent of it when sent: held by one after the other, without the time on the way
 	Payload []byte
@@ -83,7 +87,7 @@
 // size is what a note is counted as where bytes are bounded: no less than it is encoded in.
 func (n *Note) size() int { return len(n.Origin) + len(n.Key) + len(n.Payload) + noteHead }
 
-const noteHead = 1 + 2 + 4*9 + 2 + 2*9 + 5 // bytes of the rest, at most
+const noteHead = 1 + 2 + 5*9 + 2 + 2*9 + 5 // bytes of the rest, at most
 
 // Kind of a message.
 type Kind uint8
@@ -166,7 +170,7 @@
 	Doubled    int `json:"doubled"`    // notes that had come before
 	Gaps       int `json:"gaps"`       // notes from further ahead than could be taken
 	Expired    int `json:"expired"`    // notes that came too late, or bare numbers of such
-	Superseded int `json:"superseded"` // notes of an older epoch that came after a newer one of their key
+	Superseded int `json:"superseded"` // notes of an older epoch or lower fencing number that came after a newer one of their key
 	Evicted    int `json:"evicted"`    // notes that had to make room while they lived
 	Ahead      int `json:"ahead"`      // positions asked for that are ahead of the log
 	Strange    int `json:"strange"`    // notes, positions and messages of unknown origin or of no shape that one can have
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -9,12 +9,13 @@
 type Verdict uint8
 
 const (
-	Taken   Verdict = iota
-	Doubled         // its number lies behind the position
-	Gap             // something between the position and it is missing: ask again from the position
-	Expired         // the position moves; there is nothing to hand up
-	Strange         // of an unknown origin, or no note that one can have published
-	Old             // of an epoch too far back: it may have been taken
+	Taken      Verdict = iota
+	Doubled            // its number lies behind the position
+	Gap                // something between the position and it is missing: ask again from the position
+	Expired            // the position moves; there is nothing to hand up
+	Strange            // of an unknown origin, or no note that one can have published
+	Old                // of an epoch too far back: it may have been taken
+	Superseded         // by one of its key with a higher fencing number; the position moves, there is nothing to hand up
 )
 
 func (v Verdict) String() string {
@@ -24,17 +25,18 @@
 	return "unknown"
 }
 
-var verdicts = [...]string{"taken", "doubled", "gap", "expired", "strange", "old"}
+var verdicts = [...]string{"taken", "doubled", "gap", "expired", "strange", "old", "superseded"}
 
 // ReaderCounts of what a reader met since its start.
 type ReaderCounts struct {
-	Taken   int `json:"taken"`
-	Doubled int `json:"doubled"`
-	Gaps    int `json:"gaps"`
-	Expired int `json:"expired"`
-	Strange int `json:"strange"`
-	Old     int `json:"old"`
-	Short   int `json:"short"` // times that notes were found to be lost for good
+	Taken      int `json:"taken"`
+	Doubled    int `json:"doubled"`
+	Gaps       int `json:"gaps"`
+	Expired    int `json:"expired"`
+	Strange    int `json:"strange"`
+	Old        int `json:"old"`
+	Short      int `json:"short"`      // times that notes were found to be lost for good
+	Superseded int `json:"superseded"` // notes under a lower fencing number than one of their key before
 }
 
 // Reader follows the notes of all origins. What it takes is in order within an origin and epoch, and nothing twice. Between
@@ -43,12 +45,18 @@
 type Reader struct {
 	listed map[string]bool
 	ledger ledger
+	fences map[string]uint64 // highest taken of each key
+	fenced []string          // these keys, the one met longest ago first
 	counts ReaderCounts
 }
 
+// mostFences is of how many keys a reader knows the highest fencing number: those of duties. Of one that was forgotten an old
+// owner's note may be taken after a newer one's.
+const mostFences = 1024
+
 // NewReader is a reader that has read nothing, of these origins.
 func NewReader(origins []string) *Reader {
-	r := &Reader{ledger: ledger{}}
+	r := &Reader{ledger: ledger{}, fences: map[string]uint64{}}
 	r.List(origins)
 	return r
 }
@@ -88,6 +96,8 @@
 		r.counts.Strange++
 	case Old:
 		r.counts.Old++
+	case Superseded:
+		r.counts.Superseded++
 	}
 	return v
 }
@@ -109,12 +119,32 @@
 	if n.Short > at {
 		r.counts.Short++
 	}
-	if n.expired() {
+	switch {
+	case n.expired():
 		return Expired
+	case n.Fence > 0 && !r.fence(n):
+		return Superseded
 	}
 	return Taken
 }
 
+// fence notes the fencing number of a note, and tells whether none higher is known of its key.
+func (r *Reader) fence(n *Note) bool {
+	known, met := r.fences[n.Key]
+	if n.Fence < known {
+		return false
+	}
+	if !met {
+		if len(r.fenced) >= mostFences {
+			delete(r.fences, r.fenced[0])
+			r.fenced = r.fenced[1:]
+		}
+		r.fenced = append(r.fenced, n.Key)
+	}
+	r.fences[n.Key] = n.Fence
+	return true
+}
+
 // Vector is how far the reader is, of the origins on its list.
 func (r *Reader) Vector() Vector {
 	return r.ledger.vector(func(name string) bool { return r.listed[name] })
--- a/stream/reader_test.go
+++ b/stream/reader_test.go
@@ -125,3 +125,44 @@
 		t.Errorf("%d origins are followed, %d are the most", len(r.listed), MostOrigins)
 	}
 }
+
+// Of what several origins publish under one key an old owner's note is passed over once a newer owner's was taken; its position
+// moves all the same. Of the keys met longest ago no more is known than room is for.
+func TestReaderFences(t *testing.T) {
+	r := NewReader([]string{"a", "b"})
+	fenced := func(origin string, number, fence uint64, key string) Verdict {
+		n := note(origin, 1, number-1, number)
+		n.Key, n.Fence = key, fence
+		return r.Take(&n)
+	}
+	for i, c := range []struct {
+		origin string
+		fence  uint64
+		key    string
+		want   Verdict
+	}{{"a", 5, "k", Taken}, {"b", 4, "k", Superseded}, {"b", 4, "l", Taken}, {"b", 5, "k", Taken}, {"a", 0, "k", Taken}, {"b", 7, "k", Taken},
+		{"a", 6, "k", Superseded}, {"a", 7, "k", Taken}} {
+		at := r.Vector().At(c.origin, 1)
+		if v := fenced(c.origin, at+1, c.fence, c.key); v != c.want {
+			t.Errorf("note %d: %v, not %v", i, v, c.want)
+		}
+		if r.Vector().At(c.origin, 1) != at+1 {
+			t.Errorf("note %d: the position did not move", i)
+		}
+	}
+	if r.Counts().Superseded != 2 {
+		t.Errorf("%+v", r.Counts())
+	}
+	at := r.Vector().At("a", 1)
+	for i := range uint64(mostFences) {
+		if v := fenced("a", at+1+i, 9, fmt.Sprint("other", i)); v != Taken {
+			t.Fatal(v)
+		}
+	}
+	if len(r.fences) != mostFences || len(r.fenced) != mostFences {
+		t.Errorf("%d fences of %d keys", len(r.fences), len(r.fenced))
+	}
+	if v := fenced("a", at+1+mostFences, 1, "k"); v != Taken {
+		t.Errorf("of a key that was forgotten: %v", v)
+	}
+}
--- a/stream/sim_test.go
+++ b/stream/sim_test.go
@@ -40,10 +40,12 @@
 	codec     int // what one director in so many is sent goes through the codec
 	published map[epochID][]*sent
 	newest    map[[2]string]*sent // of each origin and key
+	fenced    map[string][]*sent  // of each key that several publish under
+	fence     uint64              // given out last
 	all       []*sent
 	wrong     []string
 
-	skipped, shorted, restarts, moves, resumed, forged, owed int // what happened, for whether a schedule tried anything
+	skipped, shorted, restarts, moves, resumed, forged, owed, outranked int // what happened, for whether a schedule tried anything
 }
 
 // sent is a note as it was published.
@@ -52,6 +54,7 @@
 	id       epochID
 	number   uint64
 	key      string
+	fence    uint64
 	at       time.Duration
 	life     time.Duration
 	holders  []holder
@@ -71,6 +74,7 @@
 	dead    time.Duration           // until then
 	transit map[*sent]time.Duration // time on the way that its copy's age does not hold
 	lost    map[epochID]uint64      // told as evicted
+	fences  map[string]uint64       // under which it publishes, of each key: an old owner may not know of a newer one
 }
 
 func (x *machine) clock(real time.Duration) time.Duration { return real + x.offset }
@@ -89,6 +93,7 @@
 	taken  map[int]bool
 	last   map[epochID]uint64
 	lost   map[epochID]uint64
+	fences map[string]uint64 // highest taken of each key
 }
 
 type batch struct {
@@ -110,7 +115,7 @@
 
 func newSim(seed uint64, controls, directors, regions int) *sim {
 	s := &sim{chance: rand.New(rand.NewPCG(seed, 11)), regions: regions, side: make([]int, regions), rare: 10 + int(seed*7%30),
-		rate: 4, codec: 1, published: map[epochID][]*sent{}, newest: map[[2]string]*sent{}}
+		rate: 4, codec: 1, published: map[epochID][]*sent{}, newest: map[[2]string]*sent{}, fenced: map[string][]*sent{}}
 	for i := range controls {
 		s.controls = append(s.controls, &machine{name: fmt.Sprintf("c%d", i), region: i % regions})
 	}
@@ -136,7 +141,7 @@
 	x.life++
 	x.epoch += 1 + uint64(s.chance.IntN(3))
 	x.offset = time.Duration(s.chance.IntN(1e9))
-	x.transit, x.lost = map[*sent]time.Duration{}, map[epochID]uint64{}
+	x.transit, x.lost, x.fences = map[*sent]time.Duration{}, map[epochID]uint64{}, map[string]uint64{}
 	c := Config{Me: x.name, Origins: s.names(), Epoch: x.epoch, Beat: beat, MostEntries: s.most}
 	if err := c.Check(); err != nil {
 		panic(err)
@@ -147,7 +152,7 @@
 // reset begins another life of a director.
 func (s *sim) reset(f *director) {
 	f.r = NewReader(s.names())
-	f.taken, f.last, f.lost = map[int]bool{}, map[epochID]uint64{}, map[epochID]uint64{}
+	f.taken, f.last, f.lost, f.fences = map[int]bool{}, map[epochID]uint64{}, map[epochID]uint64{}, map[string]uint64{}
 	f.leave()
 }
 
@@ -177,22 +182,37 @@
 	if s.chance.IntN(2) == 0 {
 		key = fmt.Sprintf("only/%d", len(s.all))
 	}
-	life := time.Hour
+	life, fence := time.Hour, uint64(0)
 	if s.chance.IntN(4) == 0 {
 		life = time.Duration(1+s.chance.IntN(3000)) * time.Millisecond
 	}
-	out, err := x.n.Publish(x.clock(s.real), key, life, fmt.Append(nil, len(s.all)))
+	if s.chance.IntN(6) == 0 {
+		key = fmt.Sprintf("owned/%d", s.chance.IntN(3))
+		if x.fences[key] == 0 || s.chance.IntN(2) == 0 {
+			s.fence++
+			x.fences[key] = s.fence
+		}
+		fence = x.fences[key]
+	}
+	out, err := x.n.PublishFenced(x.clock(s.real), key, fence, life, fmt.Append(nil, len(s.all)))
 	if err != nil {
 		panic(err)
 	}
 	id := epochID{x.name, x.epoch}
-	p := &sent{index: len(s.all), id: id, key: key, at: s.real, life: life, number: uint64(len(s.published[id]) + 1)}
+	p := &sent{index: len(s.all), id: id, key: key, fence: fence, at: s.real, life: life, number: uint64(len(s.published[id]) + 1)}
 	s.all = append(s.all, p)
 	s.published[id] = append(s.published[id], p)
 	if old := s.newest[[2]string{x.name, key}]; old != nil {
 		old.replaced = true
 	}
 	s.newest[[2]string{x.name, key}] = p
+	if fence > 0 {
+		for _, o := range s.fenced[key] {
+			o.replaced = o.replaced || o.fence < fence
+			p.replaced = p.replaced || o.fence > fence
+		}
+		s.fenced[key] = append(s.fenced[key], p)
+	}
 	s.holds(x, p, 0)
 	s.send(x, out)
 }
@@ -302,7 +322,7 @@
 	if off := p.life - n.Life; off < 0 || off > mostHops*time.Microsecond {
 		s.fail("%s took %v:%d with a life that is %v off", who, p.id, p.number, off)
 	}
-	if n.Key != p.key || string(n.Payload) != fmt.Sprint(p.index) {
+	if n.Key != p.key || n.Fence != p.fence || string(n.Payload) != fmt.Sprint(p.index) {
 		s.fail("%s took %v:%d with another's key %q or payload %q", who, p.id, p.number, n.Key, n.Payload)
 	}
 }
@@ -380,19 +400,28 @@
 		return false
 	case Strange, Old:
 		s.fail("%s was sent a note that is %v: %v", who, v, n.Note)
-	case Taken, Expired:
+	case Taken, Expired, Superseded:
 		if n.Short > at {
 			f.lost[id] = max(f.lost[id], n.Short)
 		}
-		for number := at + 1; number < n.Number || number == n.Number && v == Expired; number++ {
+		for number := at + 1; number < n.Number || number == n.Number && v != Taken; number++ {
 			if p := s.note(id, number); p != nil {
 				s.mayMiss(who, p, f.lost[id])
 			}
 		}
 	}
+	if v == Superseded {
+		if s.outranked++; f.fences[n.Key] <= n.Fence {
+			s.fail("%s passed over %v:%d under %d, though it took none higher than %d of %s", who, id, n.Number, n.Fence, f.fences[n.Key], n.Key)
+		}
+	}
 	if v != Taken {
 		return true
 	}
+	if n.Fence < f.fences[n.Key] {
+		s.fail("%s took %v:%d under %d after %d of %s", who, id, n.Number, n.Fence, f.fences[n.Key], n.Key)
+	}
+	f.fences[n.Key] = n.Fence
 	p := s.note(id, n.Number)
 	if p == nil {
 		s.fail("%s took %v:%d, which was not published", who, id, n.Number)
@@ -612,14 +641,14 @@
 // claims that nobody can meet: no director takes a note twice, out of order or after its life, or passes over one that
 // lives; and once healed all have caught up within a bound.
 func TestNoNoteTwiceAndNoneMissed(t *testing.T) {
-	skipped, shorted, resumed, forged, restarts, owing := 0, 0, 0, 0, 0, 0
+	skipped, shorted, resumed, forged, restarts, outranked, owing := 0, 0, 0, 0, 0, 0, 0
 	for seed := range uint64(*schedules) {
 		s := small(seed)
 		if len(s.wrong) > 0 {
 			t.Fatalf("seed %d: %s (%d in all)", seed, s.wrong[0], len(s.wrong))
 		}
 		skipped, shorted, resumed = skipped+s.skipped, shorted+s.shorted, resumed+s.resumed
-		forged, restarts = forged+s.forged, restarts+s.restarts
+		forged, restarts, outranked = forged+s.forged, restarts+s.restarts, outranked+s.outranked
 		if s.owed > 0 {
 			owing++
 		}
@@ -627,9 +656,9 @@
 	if owing < *schedules*9/10 { // now and then all control machines die within a moment, and nothing is owed
 		t.Errorf("only %d of %d schedules owed anything in the end", owing, *schedules)
 	}
-	if min(skipped, shorted, resumed, forged, restarts) == 0 {
-		t.Errorf("the schedules tried too little: %d notes passed over, %d of them lost for want of room, %d gaps met, %d claims, %d restarts",
-			skipped, shorted, resumed, forged, restarts)
+	if min(skipped, shorted, resumed, forged, restarts, outranked) == 0 {
+		t.Errorf("the schedules tried too little: %d notes passed over, %d of them lost for want of room, %d gaps met, %d claims, %d restarts, %d of old owners",
+			skipped, shorted, resumed, forged, restarts, outranked)
 	}
 }
 
