--- a/peer/scale_test.go
+++ b/peer/scale_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -199,3 +200,44 @@
 	}
 	report(b, before, from, to, many, written2-written, received2-received)
 }
+
+// BenchmarkScaleSubscribers is a subscriber's connection, dialled, greeted and ended, beside so many others that rest: processor
+// time of both sides together, so no less than what accepting one costs a control machine.
+func BenchmarkScaleSubscribers(b *testing.B) {
+	for _, many := range []int{16, 32, 65, 129, 258} {
+		b.Run(fmt.Sprintf("subscribers=%d", many), func(b *testing.B) {
+			var names []string
+			for i := range many + 1 {
+				names = append(names, fmt.Sprintf("d%d", i))
+			}
+			bus, err := Open(Options{Me: "c", Listen: "127.0.0.1:0", Log: hushed(), Subscribers: names, Publisher: mute{}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer bus.Close()
+			subscribe := func(name string, life uint64) net.Conn {
+				nc, err := net.Dial("tcp", bus.Addr())
+				if err != nil {
+					b.Fatal(err)
+				}
+				f := frame{kind: hello, version: version, name: name, from: life}
+				if _, err = nc.Write(f.append(nil)); err == nil {
+					f, err = read(bufio.NewReader(nc), mostHello)
+				}
+				if err != nil || f.to != life {
+					b.Fatalf("%+v, %v", f, err)
+				}
+				return nc
+			}
+			for _, name := range names[1:] {
+				defer subscribe(name, 1).Close()
+			}
+			used, count := processor(b), 0
+			for b.Loop() {
+				count++
+				subscribe(names[0], uint64(count)).Close()
+			}
+			b.ReportMetric(float64((processor(b)-used).Nanoseconds())/float64(count), "cpu-ns/op")
+		})
+	}
+}
