--- a/crew/log.go
+++ b/crew/log.go
@@ -5,25 +5,22 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-)
 
-const lineEach = time.Second
+	"indigochute.example/indigochute/peer"
+)
 
 // logPace writes log lines at a bounded rate: who sends nonsense without end must not fill the log.
 type logPace struct {
-	mu      sync.Mutex
-	next    time.Time
-	skipped int
+	mu    sync.Mutex
+	limit peer.Limit
 }
 
 // line writes one, with how many were left out since the last, unless there was one just now.
 func (p *logPace) line(log *logrus.Entry, what string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if time.Now().Before(p.next) {
-		p.skipped++
-		return
+	skipped, ok := p.limit.Pass(time.Now())
+	p.mu.Unlock()
+	if ok {
+		log.WithField("skipped", skipped).Warn(what)
 	}
-	log.WithField("skipped", p.skipped).Warn(what)
-	p.next, p.skipped = time.Now().Add(lineEach), 0
 }
--- a/peer/bus.go
+++ b/peer/bus.go
@@ -92,7 +92,7 @@
 	in     map[string][]*inbound
 	greets []*inbound // strangers, oldest first
 	counts Counts
-	loud   limit // of log lines about names that are refused
+	loud   Limit // of log lines about names that are refused
 }
 
 // Counts of what a bus refused and lost since its start.
@@ -370,7 +370,7 @@
 // refuse logs a name that is not listed, one line a second at most: whoever dials on and on must not fill the log.
 func (b *Bus) refuse(name string, addr net.Addr) {
 	b.mu.Lock()
-	skipped, ok := b.loud.pass(time.Now())
+	skipped, ok := b.loud.Pass(time.Now())
 	b.mu.Unlock()
 	if ok {
 		log := b.o.Log.WithFields(logrus.Fields{"peer": name, "addr": addr, "skipped": skipped})
@@ -494,14 +494,14 @@
 	return wait
 }
 
-// limit passes one line a second and counts those it does not pass.
-type limit struct {
+// Limit passes one line a second and counts those it does not pass.
+type Limit struct {
 	at      time.Time
 	skipped int
 }
 
-// pass tells whether a line may be written, and how many were not since the last one.
-func (l *limit) pass(now time.Time) (skipped int, ok bool) {
+// Pass tells whether a line may be written, and how many were not since the last one.
+func (l *Limit) Pass(now time.Time) (skipped int, ok bool) {
 	if !l.at.IsZero() && now.Sub(l.at) < time.Second {
 		l.skipped++
 		return 0, false
--- a/peer/uplink.go
+++ b/peer/uplink.go
@@ -63,7 +63,7 @@
 	addrs  map[string]string
 	links  map[string]*uplink
 	closed bool
-	loud   limit
+	loud   Limit
 }
 
 // UplinkLink is what is told of one control machine.
@@ -280,7 +280,7 @@
 			return nil
 		}
 		delete(u.links, l.name)
-		if skipped, ok := u.loud.pass(time.Now()); ok {
+		if skipped, ok := u.loud.Pass(time.Now()); ok {
 			u.o.Log.WithError(err).WithFields(logrus.Fields{"control": l.name, "addr": l.addr, "skipped": skipped}).Warn(what)
 		}
 		return input(now, l.name)
