A follower's file is refused by the same rule as a crew's; nothing is heard before it can ask again

Seen in reading: a gap in the very first notes met a follower whose links were not set yet, and its desk could be asked before. The desk opens last, and what is heard waits. TestFollowerReload: a control machine at a new address, and two files that are refused.

--- a/crew/crew.go
+++ b/crew/crew.go
@@ -105,7 +105,7 @@
 	c.mu.Lock()
 	if differ := f.Lasting(c.f, c.me); len(differ) > 0 {
 		c.mu.Unlock()
-		return fmt.Errorf("%s: another value takes effect at a start only; nothing of the file was taken", strings.Join(differ, ", "))
+		return lasting(differ)
 	}
 	c.f = f
 	c.node.SetDuties(f.List())
@@ -116,6 +116,11 @@
 	return nil
 }
 
+// lasting is that a file is refused for keys that take effect at a start only.
+func lasting(differ []string) error {
+	return fmt.Errorf("%s: another value takes effect at a start only; nothing of the file was taken", strings.Join(differ, ", "))
+}
+
 // run lets time pass for the core until the crew ends.
 func (c *Crew) run(each time.Duration) {
 	beat := time.NewTicker(each)
--- a/crew/follow_test.go
+++ b/crew/follow_test.go
@@ -350,3 +350,40 @@
 		}
 	}
 }
+
+// A director's file is taken anew with other control machines, and refused whole where it changes what holds from the start on.
+func TestFollowerReload(t *testing.T) {
+	in := install(t, 3, 2)
+	w := in.follow["d0"]
+	for _, other := range []string{strings.Replace(in.text, "name: d0,", "name: gone,", 1), strings.Replace(in.text, "spread: 200ms", "spread: 300ms", 1)} {
+		if err := w.Reload(parse(t, other, "")); err == nil {
+			t.Errorf("taken: %s", other)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	in.control["c2"].Close()
+	text := in.text
+	at := strings.Index(text, "  - {name: c2, address: \"") + len("  - {name: c2, address: \"")
+	in.text = text[:at] + addr + text[at+strings.Index(text[at:], "\""):]
+	for _, name := range []string{"c0", "c1"} {
+		if err := in.control[name].Reload(parse(t, in.text, name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	in.up("c2")
+	for name, w := range in.follow {
+		if err := w.Reload(parse(t, in.text, name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	in.control["c0"].Close()
+	in.control["c1"].Close()
+	for name, w := range in.follow {
+		await(t, name+" follows c2 at its new address", func() bool { return w.Status().Uplinks.Active == "c2" })
+	}
+}
--- a/crew/follower.go
+++ b/crew/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"sync"
@@ -61,17 +60,20 @@
 	}
 	w := &Follower{me: me, log: log, o: o, f: f, start: time.Now(), since: time.Now(), learner: newLearner(d),
 		reader: stream.NewReader(f.ControlNames())}
+	h := fnv.New64a()
+	h.Write([]byte(me))
+	w.mu.Lock() // what is heard from now on waits until there is something to ask again on
+	w.up = peer.OpenUplinks(peer.UplinkOptions{Me: me, At: f.Place(me), Control: machines(f), Spread: f.Uplink.Spread.D(),
+		Seed: h.Sum64() ^ uint64(w.start.UnixNano()), Log: log, Greeting: w.greeting, Heard: w.heard})
+	w.mu.Unlock()
 	if addr := f.Address(me); addr != "" {
 		desk, err := peer.OpenDesk(addr, peer.Answers{topicStatus: w.answer})
 		if err != nil {
+			w.up.Close()
 			return nil, fmt.Errorf("the address for status: %w", err)
 		}
 		w.desk = desk
 	}
-	h := fnv.New64a()
-	h.Write([]byte(me))
-	w.up = peer.OpenUplinks(peer.UplinkOptions{Me: me, At: f.Place(me), Control: machines(f), Spread: f.Uplink.Spread.D(),
-		Seed: h.Sum64() ^ uint64(w.start.UnixNano()), Log: log, Greeting: w.greeting, Heard: w.heard})
 	log.WithFields(logrus.Fields{"control": len(f.Control), "directors": len(f.Directors)}).Info("following control machines")
 	return w, nil
 }
@@ -159,15 +161,13 @@
 	return json.Marshal(s)
 }
 
-// Reload takes another operator file: control machines may come, go and move. This director must still be one in it.
+// Reload takes another operator file: control machines may come, go and move. What holds from the start on must be as it was, or
+// nothing is taken.
 func (w *Follower) Reload(f *operator.File) error {
-	if f.Role(w.me) != operator.Director {
-		return fmt.Errorf("%q is not among the directors of the file any more; nothing of it was taken", w.me)
-	}
 	w.mu.Lock()
-	if f.Uplink.Spread != w.f.Uplink.Spread {
+	if differ := f.Lasting(w.f, w.me); len(differ) > 0 {
 		w.mu.Unlock()
-		return errors.New("uplink.spread: another value takes effect at a start only; nothing of the file was taken")
+		return lasting(differ)
 	}
 	w.f = f
 	w.reader.List(f.ControlNames())
