The clock for duties no longer reads the operator file without the lock

Seen in reading the change: learning news had left the crew's lock, and with it the clock, which read the file that SIGHUP replaces (a data race). The clock's pace holds from the start on and is kept by itself. TestNewsBesideReload finds it under -race, and passes with the mend. The log at the start counts control machines too, where it said 0 instances.

--- a/crew/control.go
+++ b/crew/control.go
@@ -69,7 +69,7 @@
 	}
 	v, err := stream.ParseVector(payload)
 	if err != nil {
-		c.subscribers.line(c.log.WithError(err).WithField("director", s.Name), "a subscription that cannot be read")
+		c.bad.line(c.log.WithError(err).WithField("director", s.Name), "a subscription that cannot be read")
 		return
 	}
 	c.mu.Lock()
@@ -105,7 +105,7 @@
 func (c *Crew) streamed(from peer.From, payload []byte) {
 	m, err := stream.ParseMessage(payload)
 	if err != nil {
-		c.subscribers.line(c.log.WithError(err).WithField("peer", from.Name), "a message of the stream that cannot be read")
+		c.bad.line(c.log.WithError(err).WithField("peer", from.Name), "a message of the stream that cannot be read")
 		return
 	}
 	m.From, m.To = from.Name, c.me
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -43,9 +43,10 @@
 	stop  chan struct{}
 	all   sync.WaitGroup
 
+	pace      float64 // at which the clock for duties runs
 	dutyTopic string
 
-	subscribers logPace
+	bad logPace // of what cannot be read
 	*learner
 
 	mu      sync.Mutex
@@ -62,7 +63,8 @@
 
 // Start joins a director to the others. It listens at the address that the file gives for it.
 func Start(f *operator.File, me string, d Served, log *logrus.Entry) (*Crew, error) {
-	c := &Crew{me: me, d: d, log: log, f: f, start: time.Now(), stop: make(chan struct{}), learner: newLearner(d), dutyTopic: dutyTopic(f), tasks: map[string]*task{}}
+	c := &Crew{me: me, d: d, log: log, f: f, start: time.Now(), pace: f.Try.Clock, stop: make(chan struct{}), learner: newLearner(d),
+		dutyTopic: dutyTopic(f), tasks: map[string]*task{}}
 	born := uint64(c.start.UnixMilli())
 	conf := duty.Config{Me: me, All: f.Names(), Lease: f.Lease.D(), Beat: f.Beat.D(), Drift: float64(f.Drift), Duties: f.List(), Seed: born, Born: born}
 	if err := conf.Check(); err != nil {
@@ -89,15 +91,15 @@
 		return nil, fmt.Errorf("the address for other directors: %w", err)
 	}
 	c.bus = bus
-	log.WithFields(logrus.Fields{"listen": bus.Addr(), "instances": len(f.Instances), "duties": len(f.Duties), "silent_for": c.node.Mute()}).Info("talking with other directors")
+	log.WithFields(logrus.Fields{"listen": bus.Addr(), "instances": len(f.Names()), "duties": len(f.Duties), "silent_for": c.node.Mute()}).Info("talking with other directors")
 	each := f.Beat.D() / ticks
 	c.all.Go(func() { c.run(each) })
 	return c, nil
 }
 
-// now is this instance's clock for duties.
+// now is this instance's clock for duties. Its pace holds from the start on, so that no lock is needed.
 func (c *Crew) now() time.Duration {
-	return time.Duration(float64(time.Since(c.start)) * c.f.Try.Clock)
+	return time.Duration(float64(time.Since(c.start)) * c.pace)
 }
 
 // Reload takes another operator file. What holds from the start on must be as it was, or nothing is taken.
--- a/crew/follow_test.go
+++ b/crew/follow_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"indigochute.example/indigochute/director"
+	"indigochute.example/indigochute/duty"
 	"indigochute.example/indigochute/operator"
 	"indigochute.example/indigochute/peer"
 	"indigochute.example/indigochute/stream"
@@ -387,3 +388,24 @@
 		await(t, name+" follows c2 at its new address", func() bool { return w.Status().Uplinks.Active == "c2" })
 	}
 }
+
+// News count while the operator file is read again. Under the race detector this finds a clock that reads the file.
+func TestNewsBesideReload(t *testing.T) {
+	c := alone(t, &scripted{look: func(uint32) bool { return true }})
+	const rounds = 200
+	var reload sync.WaitGroup
+	reload.Go(func() {
+		for range rounds {
+			if err := c.Reload(c.f); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	for i := range uint64(rounds) {
+		c.news(peer.From{Name: "n1"}, duty.AppendNews(nil, &duty.News{Duty: "a", Fence: 1, Run: i + 1, Reports: []duty.Report{{Node: 1, Alive: true}}}))
+	}
+	reload.Wait()
+	if told := c.Status().Told; told.Alive != rounds {
+		t.Errorf("%+v of %d", told, rounds)
+	}
+}
