--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 // cases has the function that plays each case. It returns an error if the case could not run.
 var cases = map[string]func(*stage) (verdict, error){
 	"unsafe-repeat": unsafeRepeat,
+	"foreign-group": foreignGroup,
 	"memory":        memoryOfUnadmitted,
 }
 
