--- a/review/play.sh
+++ b/review/play.sh
@@ -10,11 +10,13 @@
     exit 2
 fi
 scratch=$(mktemp -d) || exit 2
-# The director ends with the stand-in. This ends one that was left, if the process is still that of this run.
+# What the stand-in started ends with it. This ends a process that was left, if it is still one of this run.
 finish() {
-    if pid=$(cat "$scratch/pid" 2>/dev/null) && grep -qz "ROUTER_CONFIG=$scratch/" "/proc/$pid/environ" 2>/dev/null; then
-        kill -KILL "$pid" 2>/dev/null
-    fi
+    for pid in $(cat "$scratch/pids" 2>/dev/null); do
+        if grep -qz "ROUTER_CONFIG=$scratch/" "/proc/$pid/environ" 2>/dev/null; then
+            kill -KILL "$pid" 2>/dev/null
+        fi
+    done
     rm -rf "$scratch"
 }
 trap finish EXIT
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,9 +37,14 @@
 
 // cases has the function that plays each case. It returns an error if the case could not run.
 var cases = map[string]func(*stage) (verdict, error){
-	"unsafe-repeat": unsafeRepeat,
-	"foreign-group": foreignGroup,
-	"memory":        memoryOfUnadmitted,
+	"unsafe-repeat":    unsafeRepeat,
+	"foreign-group":    foreignGroup,
+	"purge-stall":      purgeAfterStall,
+	"slow-journal":     slowJournal,
+	"slow-writer":      slowWriter,
+	"lease-lengthened": leaseLengthened,
+	"lease-unchanged":  leaseUnchanged,
+	"memory":           memoryOfUnadmitted,
 }
 
 func main() {
@@ -71,7 +76,7 @@
 	s := newStage(opts, log)
 	defer s.close()
 	result, err := play(s)
-	if err == nil && len(result.breaks) == 0 {
+	if err == nil && len(result.breaks) == 0 && s.director != nil {
 		err = s.director.stillRuns()
 	}
 	switch {
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -54,6 +54,8 @@
 	// resetAfter is called with each request that has run. If it returns true the node resets the connection in place of an
 	// answer.
 	resetAfter func(*dispatch) bool
+	// workFor returns how long a request takes; nil: workTime for all.
+	workFor func(*dispatch) time.Duration
 
 	mu         sync.Mutex
 	dispatches []*dispatch
@@ -156,7 +158,11 @@
 // answer runs a request and writes its answer.
 func (c *nodeConn) answer(d *dispatch) {
 	f := c.node.farm
-	time.Sleep(workTime)
+	takes := workTime
+	if f.workFor != nil {
+		takes = f.workFor(d)
+	}
+	time.Sleep(takes)
 	status, copyFrom, note := c.node.run(d)
 	if f.resetAfter != nil && status == "HIT" && f.resetAfter(d) {
 		f.setOutcome(d, "reset", 0)
--- a/review/standin/stage.go
+++ b/review/standin/stage.go
@@ -58,6 +58,7 @@
 	origin   *node
 	journal  *journal
 	director *process
+	members  []*process // control machines, and what a case restarted
 	listen   string
 
 	mu     sync.Mutex
@@ -93,11 +94,7 @@
 		return err
 	}
 	path := filepath.Join(s.opts.scratch, "config.json")
-	raw, err := json.MarshalIndent(s.config(deployment), "", " ")
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
+	if err := s.writeConfig(path, "n0", s.listen, deployment); err != nil {
 		return err
 	}
 	if s.director, err = startDirector(s.opts, path, s.log); err != nil {
@@ -144,8 +141,17 @@
 	return listener.Addr().String(), nil
 }
 
-// config returns the director's configuration.
-func (s *stage) config(deployment site) object {
+// writeConfig writes a configuration to a path.
+func (s *stage) writeConfig(path, name, listen string, deployment site) error {
+	raw, err := json.MarshalIndent(s.config(name, listen, deployment), "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, raw, 0o600)
+}
+
+// config returns the configuration of a director or a control machine.
+func (s *stage) config(name, listen string, deployment site) object {
 	var hosts []any
 	for _, n := range s.nodes() {
 		hosts = append(hosts, object{"host": n.host(), "dial": n.address().String(), "site": n.zone, "class": n.kind,
@@ -153,7 +159,7 @@
 		s.log.add("%s is %s at %s", n.name, n.host(), n.address())
 	}
 	return object{
-		"name": "n0", "listen": s.listen, "seed": "8c1f30d27a5be964", "journal": s.journal.listener.Addr().String(),
+		"name": name, "listen": listen, "seed": "8c1f30d27a5be964", "journal": s.journal.listener.Addr().String(),
 		"limits":           object{"cores": 1.0, "memory_mb": deployment.memoryMB, "sockets": 256},
 		"flow_bytes_per_s": 8600000, "link_bytes_per_s": 34400000,
 		"known": object{"pos": firstEvent - 1, "entries": []any{
@@ -218,6 +224,9 @@
 	if s.director != nil {
 		s.director.kill()
 	}
+	for _, member := range s.members {
+		member.kill()
+	}
 	if s.journal != nil {
 		s.journal.close()
 	}
@@ -231,8 +240,9 @@
 	}
 }
 
-// process is the director's process.
+// process is one process of the project's programs.
 type process struct {
+	name    string
 	command *exec.Cmd
 	log     *record
 	output  string
@@ -246,8 +256,14 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{log: log, output: filepath.Join(opts.scratch, "director.log"), ended: make(chan struct{})}
-	file, err := os.Create(p.output)
+	return startProcess(opts, "director", run, config, log)
+}
+
+// startProcess starts a command from the root of the repository, with the configuration at a path. Its process id is added to the
+// file pids, so that the script can end what is left.
+func startProcess(opts options, name, run, config string, log *record) (*process, error) {
+	p := &process{name: name, log: log, output: filepath.Join(opts.scratch, name+".log"), ended: make(chan struct{})}
+	file, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -260,16 +276,18 @@
 	if err := p.command.Start(); err != nil {
 		return nil, err
 	}
-	log.add("started %q as process %d", run, p.command.Process.Pid)
-	pid := strconv.Itoa(p.command.Process.Pid)
-	if err := os.WriteFile(filepath.Join(opts.scratch, "pid"), []byte(pid), 0o600); err != nil {
-		return p, err
-	}
+	log.add("started %s as process %d", name, p.command.Process.Pid)
 	go func() {
 		p.err = p.command.Wait()
 		close(p.ended)
 	}()
-	return p, nil
+	pids, err := os.OpenFile(filepath.Join(opts.scratch, "pids"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return p, err
+	}
+	defer pids.Close()
+	_, err = fmt.Fprintln(pids, p.command.Process.Pid)
+	return p, err
 }
 
 // deployCommand returns the run command in a deploy file.
@@ -286,23 +304,23 @@
 	return "", fmt.Errorf("%s has no run command", path)
 }
 
-// signal sends a signal to the director and writes that to the record.
+// signal sends a signal to the process and writes that to the record.
 func (p *process) signal(s syscall.Signal) {
-	p.log.add("the director gets signal %v", s)
+	p.log.add("%s gets signal %v", p.name, s)
 	p.command.Process.Signal(s)
 }
 
-// stillRuns returns an error if the director has ended by itself.
+// stillRuns returns an error if the process has ended by itself.
 func (p *process) stillRuns() error {
 	select {
 	case <-p.ended:
-		return fmt.Errorf("the director ended: %v", p.err)
+		return fmt.Errorf("%s ended: %v", p.name, p.err)
 	default:
 		return nil
 	}
 }
 
-// kill ends the director and copies its log to the record.
+// kill ends the process and copies its log to the record.
 func (p *process) kill() {
 	p.command.Process.Signal(syscall.SIGCONT)
 	p.command.Process.Kill()
@@ -312,6 +330,6 @@
 		return
 	}
 	for _, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
-		p.log.add("director's log: %s", line)
+		p.log.add("log of %s: %s", p.name, line)
 	}
 }
