Requests that may have been executed are not sent again past the caches

Cause: mayExecuteAt was asked in cacheSelection.isFit alone (boundedload.go). After such an attempt it rules out all caches, so chooseEndpoint returns nil, and chooseTarget (request.go) takes that for "no cache is fit" and makes the source the endpoint. Nothing asked for it.

Ruled out: the ending of the connection (AnswerLost, so Reset, which proves nothing) and firstUnresolved were right; below routing a message goes back to the queue only if no byte of it was written, so nothing is sent a second time there.

Change: route, where every attempt begins, asks mayExecuteAt for the endpoint of the attempt, whatever its role. The choice of a cache still asks it, to find one that is allowed.

Other ways to the same: after Failed, TimedOut, Reset and Cancelled; keyed requests of scope zone and cell; keyed requests of any scope after the window. TestBypassDoesNotRepeatExecution walks them, with the cases in which a bypass stays allowed.

--- a/internal/routing/invariants_test.go
+++ b/internal/routing/invariants_test.go
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// TestInvariantsUnderRandomEvents simulates random sequences of events and checks the five rules of testSite after every step.
-// At the end of a sequence no request, attempt or fill may remain.
+// TestInvariantsUnderRandomEvents simulates random sequences of events under random settings and checks the five rules of
+// testSite after every step. At the end of a sequence no request, attempt or fill may remain.
 func TestInvariantsUnderRandomEvents(t *testing.T) {
 	holds := func(seed int64) bool {
-		site := newTestSite(seed, 4)
+		site := newConfiguredSite(seed, randomSettings(seed), 4)
 		for range 400 {
 			site.randomEvent()
 			site.run(site.now + time.Duration(site.random.Intn(80))*ms)
@@ -31,6 +31,19 @@
 	}
 }
 
+// randomSettings returns testSettings with random settings of bypass and of the classes whose repetition has an effect.
+func randomSettings(seed int64) Settings {
+	settings, random := testSettings(), rand.New(rand.NewSource(seed))
+	settings.BypassAllowed = random.Intn(2) == 0
+	for _, class := range []int{keyedWriteClass, nonIdempotentClass} {
+		settings.Classes[class].Write = random.Intn(2) == 0
+	}
+	keyed := &settings.Classes[keyedWriteClass]
+	keyed.DedupScope = []DedupScope{DedupAll, DedupZone, DedupCell}[random.Intn(3)]
+	keyed.DedupWindow = []time.Duration{150 * ms, 3 * time.Second}[random.Intn(2)]
+	return settings
+}
+
 // variableEndpoints are the parents and caches of newTestSite with four caches. Random events change their states.
 var variableEndpoints = []uint32{2, 3, 10, 11, 12, 13}
 
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -101,7 +101,7 @@
 
 // destination states where an attempt is sent.
 type destination struct {
-	endpoint     *endpoint // nil: no endpoint is fit
+	endpoint     *endpoint // nil: no endpoint is fit; route still checks mayExecuteAt
 	source       *endpoint // endpoint that fills a miss; nil: none
 	onlyIfCached bool      // the source may serve only a cached copy
 	bypass       bool      // the endpoint is the source itself, because no cache is fit
@@ -113,7 +113,7 @@
 	order := d.preferenceOrder(request.document)
 	preferred := d.pickBySpread(request, order)
 	to := d.chooseTarget(now, request, preferred, order)
-	if to.endpoint == nil {
+	if to.endpoint == nil || !request.mayExecuteAt(now, to.endpoint) {
 		d.rejectOrFail(now, request)
 		return
 	}
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -98,10 +98,11 @@
 	return min(d.settings.maxRetryAfter, minRetryAfter+jitter)
 }
 
-// mayExecuteAt reports whether a request may be sent to a cache without the risk of executing it twice. A request with an
-// idempotency key that may have been executed is sent again only to the caches that drop repetitions, and only within the
-// window in which they do. A non-idempotent request that may have been executed is not sent again.
-func (request *openRequest) mayExecuteAt(now time.Duration, cache *endpoint) bool {
+// mayExecuteAt reports whether a request may be sent to an endpoint without the risk of executing it twice. This applies to
+// every endpoint, a parent and the origin included. A request with an idempotency key that may have been executed is sent again
+// only to the endpoints that drop repetitions, and only within the window in which they do. A non-idempotent request that may
+// have been executed is not sent again.
+func (request *openRequest) mayExecuteAt(now time.Duration, target *endpoint) bool {
 	if request.firstUnresolved == nil || request.class.Effect == Idempotent {
 		return true
 	}
@@ -111,9 +112,9 @@
 	first := request.firstUnresolved.endpoint
 	switch request.class.DedupScope {
 	case DedupZone:
-		return cache.zone == first.zone
+		return target.zone == first.zone
 	case DedupCell:
-		return cache.cell == first.cell && cache.zone == first.zone
+		return target.cell == first.cell && target.zone == first.zone
 	}
 	return true
 }
--- a/internal/routing/retry_test.go
+++ b/internal/routing/retry_test.go
@@ -53,6 +53,59 @@
 	}
 }
 
+// TestBypassDoesNotRepeatExecution guards against a request that a cache may have executed being sent past the caches to a
+// parent or the origin, where it would be executed again. The caches drop out of each retry because they are not allowed for the
+// request or have failed it. checkRepetition of testSite checks each attempt. Only requests whose repetition is harmless, or
+// whose first attempt was never executed, may bypass the caches.
+func TestBypassDoesNotRepeatExecution(t *testing.T) {
+	const window, withinWindow, afterWindow = time.Second, 20 * ms, 990 * ms // afterWindow: a retry could not begin in time
+	const keyed = IdempotencyKeyed
+	for _, test := range []struct {
+		name       string
+		effect     Effect
+		scope      DedupScope
+		failAfter  time.Duration
+		results    []Result
+		wantBypass bool
+	}{
+		{"idempotent", Idempotent, DedupAll, withinWindow, mayHaveExecuted, true},
+		{"non-idempotent", NonIdempotent, DedupAll, withinWindow, mayHaveExecuted, false},
+		{"non-idempotent, never executed", NonIdempotent, DedupAll, withinWindow, neverExecutedAtEndpoint, true},
+		{"keyed, all", keyed, DedupAll, withinWindow, mayHaveExecuted, true},
+		{"keyed, all, after the window", keyed, DedupAll, afterWindow, mayHaveExecuted, false},
+		{"keyed, zone", keyed, DedupZone, withinWindow, mayHaveExecuted, false},
+		{"keyed, zone, never executed", keyed, DedupZone, withinWindow, neverExecutedAtEndpoint, true},
+		{"keyed, cell", keyed, DedupCell, withinWindow, mayHaveExecuted, false},
+		{"keyed, cell, after the window", keyed, DedupCell, afterWindow, mayHaveExecuted, false},
+	} {
+		for _, result := range test.results {
+			t.Run(fmt.Sprintf("%s, result %d", test.name, result), func(t *testing.T) {
+				settings := testSettings()
+				settings.BypassAllowed = true
+				settings.Classes[freshClass] = Class{LatencyObjective: 250 * ms, MaxDeadline: 4 * time.Second,
+					Effect: test.effect, DedupScope: test.scope, DedupWindow: window}
+				site := newConfiguredSite(1, settings, 1)
+				site.t, site.manual = t, true
+				request := site.serve(freshClass, 5, test.failAfter, Outcome{Result: result})
+				bypassed := len(request.attempts) > 1 && site.endpoints[request.attempts[1].node].Kind != 0
+				if bypassed != test.wantBypass {
+					t.Errorf("request sent past the caches: got %v, want %v", bypassed, test.wantBypass)
+				}
+				if !test.wantBypass && !request.answered {
+					t.Error("request without a permitted endpoint has no answer")
+				}
+			})
+		}
+	}
+}
+
+// mayHaveExecuted and neverExecutedAtEndpoint are the results of an attempt after which its request may be retried at another
+// endpoint, by what they prove.
+var (
+	mayHaveExecuted         = []Result{Failed, TimedOut, Reset, Cancelled}
+	neverExecutedAtEndpoint = []Result{Rejected, ConnectFailed, NotSent, NotCached}
+)
+
 // TestRetryBudgetLimitsRetryShare fails the first attempt of one in failEvery requests. If fewer than 15% fail, all of them
 // must be retried, however long this continues. If more fail, at most 15% may be retried. Guards against requests lost to
 // single failures, and against retries that multiply the load of an overloaded site.
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -9,17 +9,17 @@
 
 const (
 	Idempotent       Effect = iota // same effect as executing it once
-	IdempotencyKeyed               // same effect as executing it once, if caches drop repetitions by an idempotency key
+	IdempotencyKeyed               // same effect as executing it once, if endpoints drop repetitions by an idempotency key
 	NonIdempotent                  // each execution has an effect
 )
 
-// DedupScope states which caches drop a repetition of a request with an idempotency key.
+// DedupScope states which endpoints drop a repetition of a request with an idempotency key.
 type DedupScope uint8
 
 const (
-	DedupAll  DedupScope = iota // any cache
-	DedupZone                   // caches in the zone of the first attempt
-	DedupCell                   // caches in the cell of the first attempt
+	DedupAll  DedupScope = iota // any endpoint
+	DedupZone                   // endpoints in the zone of the first attempt
+	DedupCell                   // endpoints in the cell of the first attempt
 )
 
 // Class is a request class: the properties that its requests share.
--- a/internal/routing/site_test.go
+++ b/internal/routing/site_test.go
@@ -137,11 +137,17 @@
 	}
 }
 
-// newTestSite returns a site with an origin (1), two parents (2 and 3) and the given number of caches (10 and up), two per
-// cell.
+// newTestSite returns a site with testSettings. Its seed determines whether requests may bypass the caches.
 func newTestSite(seed int64, caches int) *testSite {
-	site := emptySite(seed, testSettings())
-	site.settings.BypassAllowed = seed%2 == 0
+	settings := testSettings()
+	settings.BypassAllowed = seed%2 == 0
+	return newConfiguredSite(seed, settings, caches)
+}
+
+// newConfiguredSite returns a site with an origin (1), two parents (2 and 3) and the given number of caches (10 and up), two
+// per cell.
+func newConfiguredSite(seed int64, settings Settings, caches int) *testSite {
+	site := emptySite(seed, settings)
 	site.director = New(site.settings, site)
 	site.updateEndpoints(true, listedEndpoints(0)...)
 	for i := range caches {
@@ -341,12 +347,24 @@
 		if earlier.ended && earlier.neverExecuted {
 			continue
 		}
-		otherCell := site.endpoints[earlier.node].Cell != site.endpoints[order.Node].Cell
+		outsideScope := !site.sharesDedupScope(class, earlier.node, order.Node)
 		windowOver := site.now >= earlier.at+class.DedupWindow
 		site.failIf(class.Effect == NonIdempotent, "rule 2: non-idempotent request %d sent again", request.ID)
-		site.failIf(class.Effect == IdempotencyKeyed && (otherCell || windowOver),
-			"rule 2: keyed request %d sent outside its cell or window", request.ID)
+		site.failIf(class.Effect == IdempotencyKeyed && (outsideScope || windowOver),
+			"rule 2: keyed request %d sent outside its scope or window", request.ID)
+	}
+}
+
+// sharesDedupScope reports whether two endpoints drop each other's repetitions of requests of a class.
+func (site *testSite) sharesDedupScope(class Class, first, second uint32) bool {
+	a, b := site.endpoints[first], site.endpoints[second]
+	switch class.DedupScope {
+	case DedupZone:
+		return a.Zone == b.Zone
+	case DedupCell:
+		return a.Zone == b.Zone && a.Cell == b.Cell
 	}
+	return true
 }
 
 // checkEndpoints checks rules 3 and 4 for the endpoint and the source of an attempt, and that both have permitted roles.
