Requests and bodies count against the bounds before they are read

Cause: the bounds were asked in request.register (request.go), in the request's own goroutine. By then the client's reader had allocated the body (msgpack Reader.arguments), and had kept up to 40 such requests of a connection in clientConn.pending until no bytes were unread. What was held uncounted grew with the number of connections.

Change: bytes are counted before memory for them is allocated. The codecs ask before they allocate a body and discard what is not admitted (msgpack.BodyAdmission, resp.BodyAdmission). A request is counted as open from when it is read until its goroutine ends. Requests' own bodies may use half of the bound on bodies, so that answers have room. The counters never exceed their bound, so one refused reservation causes no other refusal.

Other ways to the same, found by reading and not shown over the limit: answers of nodes were allocated before they were counted, also those that nobody waits for and those of health checks; each message to a node was an uncounted copy of the body.

Tests: TestBurstsStayWithinMemory (cmd/director, real processes). TestBoundsReleased, TestOwnBodiesLeaveRoomForAnswers, TestOpenRequestsBounded, tests of the codecs.

Changed tests: TestBodyBytesBounded asks the same of the functions that decide now. TestClientLeavesBeforeFirstAttempt waited for the body to be counted in register to meet the moment before registration; it now runs the steps of serve itself and meets the moment between the order and its execution in each of its 64 rounds.

--- /dev/null
+++ b/cmd/director/memory_test.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"indigochute.example/indigochute/internal/msgpack"
+	"indigochute.example/indigochute/internal/resp"
+)
+
+// Limits of the director's machine in the tests of memory.
+const (
+	smallMemoryMB = 32
+	smallSockets  = 256
+)
+
+// burst is what many clients send at the same time.
+type burst struct {
+	name         string
+	clients      int
+	requests     int // of each client, written without waiting for responses
+	bodyBytes    int // of each request
+	fieldBytes   int // of each field whose length a client can choose
+	responseSize int // of the body of the node's response
+	documents    int // requested one after the other before the burst, so that the director has records of them
+}
+
+// TestBurstsStayWithinMemory sends a director bursts of messages whose contents together are many times its memory. Guards against
+// memory for what other processes send that is held before any bound is checked: requests that were read and not started yet, the
+// fields and bodies of requests, and the bodies of responses that arrive at the same time. A usual client must get responses
+// meanwhile, and the process must stay within its memory and must not end.
+func TestBurstsStayWithinMemory(t *testing.T) {
+	const rounds = 3
+	for _, test := range []burst{
+		{name: "bodies of requests", clients: 40, requests: 200, bodyBytes: 48000},
+		{name: "bodies of many clients", clients: 110, requests: 40, bodyBytes: 48000},
+		{name: "fields of requests", clients: 110, requests: 200, fieldBytes: 1 << 10},
+		{name: "bodies of responses", clients: 100, requests: 32, responseSize: 256 << 10},
+		{name: "bodies of requests and responses", clients: 100, requests: 32, bodyBytes: 48000, responseSize: 256 << 10},
+		{name: "bodies of requests with a full object table", clients: 40, requests: 200, bodyBytes: 48000, documents: 32768},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			node := startBurstNode(t, test.responseSize)
+			p, _ := startWith(t, smallSockets, func(listen string) string {
+				return smallConfiguration(listen, node)
+			})
+			test.requestDocuments(t, p)
+			usual, err := connect(p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			watch := watchMemory(t, p)
+			stopUsual := sendUntilStopped(usual)
+			for range rounds {
+				test.send(t, p)
+				time.Sleep(200 * time.Millisecond)
+			}
+			sent := stopUsual()
+			if peak := watch.stop(); peak > smallMemoryMB<<10 {
+				t.Errorf("the process held %d kB, want at most %d kB", peak, smallMemoryMB<<10)
+			}
+			p.waitUntil("a request of the usual client has no response", func() bool { return usual.unanswered() == 0 })
+			t.Logf("peak %d kB; the usual client sent %d requests", watch.peak, sent)
+			select {
+			case err := <-p.done:
+				t.Errorf("the process has ended: %v: %s", err, p.readLog())
+			default:
+			}
+		})
+	}
+}
+
+// smallConfiguration returns the configuration of a director on a machine with smallMemoryMB, whose only class has objects in parts.
+func smallConfiguration(listen, node string) string {
+	return strings.NewReplacer(
+		`"memory_mb":64`, fmt.Sprintf(`"memory_mb":%d`, smallMemoryMB),
+		`"passOn":[false]`, `"passOn":[false],"inParts":[true]`,
+	).Replace(configure(listen, smallSockets, unreachable, node))
+}
+
+// requestDocuments requests as many different documents as the test wants.
+func (b *burst) requestDocuments(t *testing.T, p *process) {
+	const connections, maxOpen, partsOfObject = 16, 20, 4
+	var sending sync.WaitGroup
+	for number := range connections {
+		conn, err := connect(p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.conn.Close()
+		sending.Go(func() {
+			for document := number; document < b.documents; document += connections {
+				for conn.unanswered() >= maxOpen {
+					time.Sleep(time.Millisecond)
+				}
+				id, _ := conn.record(responseTimeout)
+				conn.conn.Write(msgpack.AppendRequest(nil, &msgpack.Message{
+					ID:        id,
+					Class:     "page",
+					RequestID: fmt.Sprintf("%016x", nextRequestNumber()),
+					Object:    fmt.Sprintf("d%015x", document/partsOfObject),
+					Part:      strconv.Itoa(document % partsOfObject),
+					Group:     "3",
+					Timeout:   2 * time.Second,
+				}))
+			}
+		})
+	}
+	sending.Wait()
+}
+
+// send sends the burst on new connections and reads the responses until the connections are closed.
+func (b *burst) send(t *testing.T, p *process) {
+	var connections []*connection
+	for range b.clients {
+		conn, err := connect(p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		connections = append(connections, conn)
+	}
+	var sending sync.WaitGroup
+	for _, conn := range connections {
+		sending.Go(func() {
+			for range b.requests {
+				id, _ := conn.record(responseTimeout)
+				if _, err := conn.conn.Write(b.request(id)); err != nil {
+					return // the director has closed the connection
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+			conn.conn.Close()
+		})
+	}
+	sending.Wait()
+}
+
+// request returns one message of the burst.
+func (b *burst) request(id uint32) []byte {
+	unique := fmt.Sprintf("%016x", nextRequestNumber())
+	message := msgpack.Message{
+		ID:        id,
+		Class:     "page",
+		RequestID: unique,
+		Object:    unique,
+		Part:      "0",
+		Group:     "3",
+		Timeout:   2 * time.Second,
+		Body:      make([]byte, b.bodyBytes),
+	}
+	if b.fieldBytes > 0 {
+		long := strings.Repeat("f", b.fieldBytes)
+		message.RequestID, message.Object, message.Part = long, long, long
+		message.Group, message.ETag, message.IdempotencyKey = long, long, long
+	}
+	return msgpack.AppendRequest(nil, &message)
+}
+
+// sendUntilStopped sends usual requests on a connection at short intervals. The returned function stops that and returns their number.
+func sendUntilStopped(conn *connection) (stop func() int) {
+	const interval = 20 * time.Millisecond
+	stopped, done := make(chan struct{}), make(chan int)
+	go func() {
+		sent := 0
+		for {
+			select {
+			case <-stopped:
+				done <- sent
+				return
+			case <-time.After(interval):
+				if conn.send("page", 2*time.Second, 1, 0) {
+					sent++
+				}
+			}
+		}
+	}()
+	return func() int {
+		close(stopped)
+		return <-done
+	}
+}
+
+// startBurstNode starts a node that answers each request with a body of the given size. If that is large, it answers many requests at
+// the same time: at the next full interval. It returns the node's address.
+func startBurstNode(t *testing.T, responseSize int) string {
+	t.Helper()
+	const interval = 200 * time.Millisecond
+	body := make([]byte, responseSize)
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for {
+			command, err := resp.ReadCommand(in)
+			if err != nil {
+				return
+			}
+			if command.Cancel {
+				continue
+			}
+			response := resp.Response{ID: command.ID, Status: resp.Hit, Body: body}
+			if command.HealthCheck {
+				response = resp.Response{ID: command.ID, Status: resp.Pong}
+			}
+			if responseSize > 0 {
+				time.Sleep(time.Until(time.Now().Truncate(interval).Add(interval)))
+			}
+			conn.Write(resp.AppendResponse(nil, &response))
+		}
+	}
+	listener := listenAnywhere(t)
+	go acceptAll(listener, serve)
+	return listener.Addr().String()
+}
+
+// memoryWatch samples the memory of a process.
+type memoryWatch struct {
+	stopped, done chan struct{}
+	peak          int // highest private memory seen, in kB; valid once done is closed
+}
+
+// watchMemory starts to sample the private memory of a process, without the pages of the program's file.
+func watchMemory(t *testing.T, p *process) *memoryWatch {
+	w := &memoryWatch{stopped: make(chan struct{}), done: make(chan struct{})}
+	path := fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid)
+	go func() {
+		defer close(w.done)
+		for {
+			select {
+			case <-w.stopped:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			status, err := os.ReadFile(path)
+			held, ok := privateMemory(string(status))
+			if err != nil || !ok {
+				t.Errorf("the memory of the process cannot be read: %v", err)
+				return
+			}
+			w.peak = max(w.peak, held)
+		}
+	}()
+	return w
+}
+
+// stop ends the samples and returns the peak in kB.
+func (w *memoryWatch) stop() int {
+	close(w.stopped)
+	<-w.done
+	return w.peak
+}
+
+// privateMemory returns the private resident memory in the status file of a process, in kB.
+func privateMemory(status string) (kilobytes int, ok bool) {
+	_, rest, found := strings.Cut(status, "RssAnon:")
+	fields := strings.Fields(rest)
+	if !found || len(fields) == 0 {
+		return 0, false
+	}
+	kilobytes, err := strconv.Atoi(fields[0])
+	return kilobytes, err == nil
+}
--- a/internal/compat/codecs_test.go
+++ b/internal/compat/codecs_test.go
@@ -88,7 +88,7 @@
 
 func nodeResponseEncoding(name string, a resp.Response) encoding {
 	return encoding{name, a, resp.AppendResponse(nil, &a), func(raw []byte) (any, []byte, error) {
-		a, err := resp.ReadResponse(bufio.NewReader(bytes.NewReader(raw)))
+		a, err := resp.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
 		return a, resp.AppendResponse(nil, &a), err
 	}}
 }
--- a/internal/director/client_conn_test.go
+++ b/internal/director/client_conn_test.go
@@ -41,18 +41,12 @@
 			Timeout:        time.Second,
 		}
 		r := newRequest(w.director, c, message, w.director.clock.now())
-		w.director.mu.Lock()
-		ended := make(chan struct{})
-		go func() {
-			r.serve()
-			close(ended)
-		}()
-		for w.director.bodyBytes.Load() == 0 { // until the request is about to be registered
-			time.Sleep(10 * time.Microsecond)
+		if err := r.admit(); err != nil {
+			t.Fatal(err)
 		}
-		r.markClientGone()
-		w.director.mu.Unlock()
-		<-ended
+		r.markClientGone() // after the attempt was ordered, and before the order is carried out
+		r.run()
+		r.finish()
 		if len(r.attempts) != 1 || !r.attempts[0].isFinished() || r.attempts[0].conn != nil || len(r.orders) > 0 {
 			t.Fatalf("request %d: %d attempts, %d orders left; want one finished attempt and no order", i, len(r.attempts), len(r.orders))
 		}
--- a/internal/director/client_reader.go
+++ b/internal/director/client_reader.go
@@ -34,6 +34,7 @@
 	socket := newDrainingReader(c)
 	buffered := bufio.NewReaderSize(socket, clientReadBuffer)
 	messages := msgpack.NewReader(buffered)
+	messages.AdmitBodies(c.admitArrivingBody)
 	ending, err := c.readMessages(buffered, messages)
 	if errors.Is(err, errDuplicateMessageID) || errors.Is(err, errOnlyUselessMessages) {
 		ending, err = c.rejectRemaining(buffered, messages, err)
@@ -59,9 +60,9 @@
 
 // readMessage reads and handles one message. If the message is invalid but its id could be read, it answers with the error.
 func (c *clientConn) readMessage(messages *msgpack.Reader) error {
-	message, err := messages.Read()
+	message, bodyBytes, err := c.nextMessage(messages)
 	if err == nil {
-		err = c.handleMessage(message)
+		err = c.handleMessage(message, bodyBytes)
 	}
 	if err != nil && message.HasID && endingOf(err) == Unreadable {
 		c.postShort(msgpack.Failure(message.ID, err.Error()))
@@ -69,6 +70,27 @@
 	return err
 }
 
+// nextMessage reads one message. It also returns how many bytes are reserved for the message's body, which is 0 after an error.
+func (c *clientConn) nextMessage(messages *msgpack.Reader) (message msgpack.Message, bodyBytes int64, err error) {
+	message, err = messages.Read()
+	bodyBytes, c.arrivingBody = c.arrivingBody, 0
+	if err != nil {
+		c.releaseOwnBody(bodyBytes)
+		bodyBytes = 0
+	}
+	return message, bodyBytes, err
+}
+
+// admitArrivingBody reserves the bytes of a request's body that is about to be read. It returns false if the body must be
+// discarded because the request will be rejected.
+func (c *clientConn) admitArrivingBody(length int) bool {
+	if c.rejecting || c.director.rejecting.Load() || c.openCount() >= maxOpenPerClient || !c.reserveOwnBody(int64(length)) {
+		return false
+	}
+	c.arrivingBody = int64(length)
+	return true
+}
+
 // pauseIfUseless slows down a client after several useless messages in a row. It returns an error after too many.
 func (c *clientConn) pauseIfUseless() error {
 	useless := c.uselessInRow.Load()
@@ -165,11 +187,11 @@
 			continue
 		}
 		c.socket.SetReadDeadline(time.Now().Add(messageTimeout))
-		message, err := messages.Read()
+		message, bodyBytes, err := c.nextMessage(messages)
 		if err != nil {
 			return endingOf(err), err
 		}
-		c.handleMessage(message) // the error is ignored: the open request that has a duplicate id is answered anyway
+		c.handleMessage(message, bodyBytes) // the error is ignored: the open request that has a duplicate id is answered anyway
 		time.Sleep(uselessPause)
 		read++
 	}
--- a/internal/director/client_requests.go
+++ b/internal/director/client_requests.go
@@ -9,8 +9,8 @@
 // This file handles the messages of one connection until the goroutines of its requests are started, and keeps the set of its
 // open requests.
 
-// handleMessage handles one message. It returns an error if the connection must end.
-func (c *clientConn) handleMessage(message msgpack.Message) error {
+// handleMessage handles one message, for whose body bodyBytes are reserved. It returns an error if the connection must end.
+func (c *clientConn) handleMessage(message msgpack.Message, bodyBytes int64) error {
 	arrivedAt := c.arrivalTime()
 	c.mu.Lock()
 	c.hasSentMessage, c.lastActivity = true, arrivedAt
@@ -20,7 +20,9 @@
 	}
 	switch message.Kind {
 	case msgpack.Request:
-		return c.handleRequest(newRequest(c.director, c, message, arrivedAt))
+		r := newRequest(c.director, c, message, arrivedAt)
+		r.ownBodyBytes = bodyBytes
+		return c.handleRequest(r)
 	case msgpack.ReadinessCheck:
 		c.postShort(msgpack.Readiness(message.ID, !c.director.shuttingDown.Load()))
 	case msgpack.Cancellation:
@@ -29,14 +31,16 @@
 	return nil
 }
 
-// handleRequest registers a request as pending, or rejects it immediately if too many are open.
+// handleRequest registers a request as pending, or rejects it immediately if a bound is reached.
 func (c *clientConn) handleRequest(r *request) error {
 	open, err := c.register(r)
 	if err != nil {
+		r.releaseBounds()
 		return err
 	}
-	if open > maxOpenPerClient || c.rejecting {
+	if open > maxOpenPerClient || c.rejecting || !r.reserveBounds() {
 		r.rejectForBound()
+		r.releaseBounds()
 		return nil
 	}
 	if len(c.pending) == 0 {
@@ -69,6 +73,7 @@
 			}()
 		default:
 			r.rejectForBound()
+			r.releaseBounds()
 		}
 	}
 	clear(c.pending)
@@ -90,6 +95,13 @@
 	return len(c.open), nil
 }
 
+// openCount returns how many requests are open on the connection.
+func (c *clientConn) openCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 // release removes an answered request from the open requests. Later calls do nothing.
 func (c *clientConn) release(r *request) {
 	c.mu.Lock()
--- a/internal/director/deadline_test.go
+++ b/internal/director/deadline_test.go
@@ -291,12 +291,13 @@
 		t.Fatal("the connection is not established")
 	}
 	message, item, firstByteBy := conn.nextMessage()
+	size := message.size()
 	time.Sleep(2 * writeSlice) // the pause
 	n, err := writeMessage(directorConn, message, firstByteBy, time.Now().Add(time.Second))
 	if n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("wrote %d of %d bytes, %v; want none, os.ErrDeadlineExceeded", n, len(message), err)
+		t.Errorf("wrote %d of %d bytes, %v; want none, os.ErrDeadlineExceeded", n, size, err)
 	}
-	if !conn.handleWritten(item, n, len(message), err) {
+	if !conn.handleWritten(item, n, size, err) {
 		t.Error("the connection has ended, want it to stay usable")
 	}
 	message, _, firstByteBy = conn.nextMessage()
@@ -339,8 +340,8 @@
 		{2 * writeSlice, os.ErrDeadlineExceeded},
 	} {
 		conn := &pausedBeforeWrite{pause: test.pause}
-		message := []byte("GET")
-		n, err := writeMessage(conn, message, time.Now().Add(writeSlice), time.Now().Add(time.Hour))
+		const message = "GET"
+		n, err := writeMessage(conn, messageParts{[]byte(message)}, time.Now().Add(writeSlice), time.Now().Add(time.Hour))
 		if err != test.want || n != conn.written || (err == nil) != (n == len(message)) {
 			t.Errorf("pause of %v: wrote %d bytes, returned %d, %v; want error %v", test.pause, conn.written, n, err, test.want)
 		}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -37,7 +37,9 @@
 	journalMoves  chan netip.AddrPort // new addresses of the journal service; buffers the newest one only
 	shuttingDown  atomic.Bool         // the shutdown signal was received
 	rejecting     atomic.Bool         // set in the last phases of the shutdown: requests that are read are rejected
-	bodyBytes     atomic.Int64        // body bytes held by all requests
+	openRequests  boundedCounter      // requests that were read and not rejected, until their goroutines end
+	bodyBytes     boundedCounter      // body bytes held by all requests
+	ownBodyBytes  boundedCounter      // of these, those of the requests' own bodies
 
 	mu          sync.Mutex // guards the fields below, the clock's timers, and the answerDue and holdsID of requests
 	router      *routing.Director
--- a/internal/director/health_check.go
+++ b/internal/director/health_check.go
@@ -148,7 +148,7 @@
 		if _, err = writeAll(socket, message); err != nil {
 			return response, err
 		}
-		response, err = resp.ReadResponse(answers)
+		response, err = resp.ReadResponse(answers, resp.DropBodies)
 		if err == nil && response.ID != id {
 			err = errUnexpectedAnswer
 		}
--- a/internal/director/helpers_test.go
+++ b/internal/director/helpers_test.go
@@ -435,7 +435,7 @@
 func (w *harness) bareRequest(deadline time.Duration) *request {
 	return &request{
 		director:    w.director,
-		client:      &clientConn{},
+		client:      newClientConn(w.director, nil),
 		attemptEnds: make(chan *attempt, 9),
 		clientGone:  make(chan struct{}),
 		deadline:    deadline,
--- a/internal/director/node_conn.go
+++ b/internal/director/node_conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"indigochute.example/indigochute/internal/resp"
+	"indigochute.example/indigochute/internal/routing"
 )
 
 // This file has a connection to a node: its state, the attempts on it, and how it is opened and closed. node_reader.go reads
@@ -43,6 +44,7 @@
 	lastAnswer   time.Duration         // when the last answer arrived, or when it was established
 	writingSince time.Duration         // since when a message has been waiting or being written; 0: none
 	readingSince time.Duration         // since when an answer has been arriving; 0: none
+	arriving     arrivingBody          // belongs to the reader's goroutine
 }
 
 // nodeConnState is the state of a connection. It only increases, in advance.
@@ -194,11 +196,40 @@
 	return c.readingSince > 0 && now-c.readingSince > stuckAfter
 }
 
+// arrivingBody is the body of an answer that is being read, for which bytes are reserved.
+type arrivingBody struct {
+	client *clientConn // whose bytes are reserved; nil: none are
+	size   int64
+}
+
+// release releases the reserved bytes.
+func (b *arrivingBody) release() {
+	if b.client != nil {
+		b.client.releaseBody(b.size)
+	}
+	*b = arrivingBody{}
+}
+
+// admitArrivingBody reserves the bytes of an answer's body that is about to be read. It returns false if the body must be
+// discarded: no client is waiting for it, or it would exceed a bound.
+func (c *nodeConn) admitArrivingBody(id string, status resp.Status, length int) bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	answered := c.open[id]
+	served := status == resp.Hit || status == resp.NotModified
+	if answered == nil || answered.isFinished() || !served || !answered.request.client.reserveBody(int64(length)) {
+		return false
+	}
+	c.arriving = arrivingBody{client: answered.request.client, size: int64(length)}
+	return true
+}
+
 // handleResponse ends the attempt that an answer belongs to. It ignores an answer that belongs to no open attempt: a duplicate,
 // an unsolicited answer, or an answer to a cancelled attempt.
 func (c *nodeConn) handleResponse(response resp.Response) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	defer c.arriving.release()
 	firstByteAt := c.readingSince
 	c.lastAnswer, c.readingSince = c.pool.clock.now(), 0
 	answered := c.open[response.ID]
@@ -209,9 +240,11 @@
 	switch {
 	case ending == AnsweredNotModified && answered.command.ETag == "": // the request named no copy that could be valid
 		ending = AnsweredFault
-	case !answered.request.reserveBody(len(response.Body)):
-		ending, response.Body = NoMemory, nil
+	case response.BodyDropped && ending.result() == routing.Served:
+		ending = NoMemory
 	}
+	answered.request.answerBytes += c.arriving.size
+	c.arriving = arrivingBody{} // the request releases it
 	arrivedAt := c.pool.clock.arrivalTime()
 	answered.response, answered.firstByteAt = response, firstByteAt
 	answered.directorStalled = answered.orderedAt <= arrivedAt && arrivedAt < c.lastAnswer
--- a/internal/director/node_reader.go
+++ b/internal/director/node_reader.go
@@ -26,8 +26,9 @@
 		answers.completeBy = time.Time{} // no limit on the time between answers
 		buffered.Peek(1)                 // waits for the first byte; ReadResponse returns an error again
 		answers.completeBy = c.beginAnswer()
-		response, err := resp.ReadResponse(buffered)
+		response, err := resp.ReadResponse(buffered, c.admitArrivingBody)
 		if err != nil {
+			c.arriving.release()
 			c.endNow(endingOf(err), err)
 			return
 		}
--- a/internal/director/node_socket.go
+++ b/internal/director/node_socket.go
@@ -17,12 +17,37 @@
 // unsent in the host's send buffer. So a message is sent immediately and does not wait behind bytes that the node does not read.
 const maxUnsentBytes = 1
 
+// messageParts is an encoded message in parts that are written in order, so that its body is not copied.
+type messageParts net.Buffers
+
+// size returns the number of bytes that are left to write.
+func (m messageParts) size() (bytes int) {
+	for _, part := range m {
+		bytes += len(part)
+	}
+	return bytes
+}
+
+// write writes all parts, or until an error. It removes what was written. On a TCP socket this is a single system call while the
+// socket accepts bytes.
+func (m *messageParts) write(socket net.Conn) (n int, err error) {
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		written, err := (*net.Buffers)(m).WriteTo(tcp)
+		return int(written), err
+	}
+	n, err = socket.Write((*m)[0])
+	if (*m)[0] = (*m)[0][n:]; len((*m)[0]) == 0 {
+		*m = (*m)[1:]
+	}
+	return n, err
+}
+
 // writeMessage writes a message. Its first byte must be written before firstByteBy, each later one before lastByteBy, since the
 // process may be paused after the message was encoded or after the first byte was written. It returns os.ErrDeadlineExceeded if
 // the message was not written in time. It checks the time just before each write, because a write deadline that passed during a
 // pause has no effect until the runtime's timers run again.
-func writeMessage(socket net.Conn, message []byte, firstByteBy, lastByteBy time.Time) (n int, err error) {
-	for n < len(message) {
+func writeMessage(socket net.Conn, message messageParts, firstByteBy, lastByteBy time.Time) (n int, err error) {
+	for message.size() > 0 {
 		deadline := firstByteBy
 		if n > 0 {
 			deadline = lastByteBy
@@ -31,7 +56,7 @@
 		if !time.Now().Before(deadline) {
 			return n, os.ErrDeadlineExceeded
 		}
-		written, err := socket.Write(message[n:])
+		written, err := message.write(socket)
 		n += written
 		switch {
 		case errors.Is(err, syscall.EINTR): // try again
--- a/internal/director/node_writer.go
+++ b/internal/director/node_writer.go
@@ -69,8 +69,9 @@
 	if item.cancellation {
 		lastByteBy = encodedAt.Add(cancelRestTimeout)
 	}
+	size := message.size()
 	n, err := writeMessage(socket, message, firstByteBy, lastByteBy)
-	return c.handleWritten(item, n, len(message), err)
+	return c.handleWritten(item, n, size, err)
 }
 
 // awaitClientReaders waits until everything that clients wrote during a stall of the process has been read, for some tens of
@@ -168,7 +169,7 @@
 // nextMessage removes the next item from the queue and encodes its message. It also returns the time by which the first byte
 // must be written. That bound counts from now, as the timeout in the message does, since the process may be paused before the
 // message is written. The message is nil if there is nothing to write.
-func (c *nodeConn) nextMessage() (message []byte, item outgoing, firstByteBy time.Time) {
+func (c *nodeConn) nextMessage() (message messageParts, item outgoing, firstByteBy time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.pruneQueue()
@@ -183,7 +184,7 @@
 	}
 	attempt := item.attempt
 	if item.cancellation {
-		return resp.AppendCancel(nil, attempt.command.ID), item, c.pool.clock.at(now + writeSlice)
+		return messageParts{resp.AppendCancel(nil, attempt.command.ID)}, item, c.pool.clock.at(now + writeSlice)
 	}
 	attempt.advance(attemptWriting)
 	attempt.command.Timeout = attempt.waitsUntil() - now
@@ -191,7 +192,7 @@
 	if attempt.startBefore > 0 {
 		within = min(within, attempt.startBefore-now)
 	}
-	return resp.AppendRequest(nil, &attempt.command), item, c.pool.clock.at(now + within)
+	return resp.RequestParts(&attempt.command), item, c.pool.clock.at(now + within)
 }
 
 // handleWritten records that n of a message's size bytes were written, and returns whether the writer may go on. It also ends
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,9 +14,9 @@
 // This file has the life cycle of a request. Each request runs in its own goroutine, from serve to finish. Its steps are, in
 // order, with the methods that implement them; a method is in this file unless another file is named:
 //
-//	read      clientConn.handleRequest (client_requests.go) registers it, clientConn.startPending starts serve
+//	read      clientConn.handleRequest (client_requests.go) checks the bounds and registers it, clientConn.startPending starts serve
 //	parse     parse (request_fields.go) checks the fields and extracts those that routing needs
-//	admit     register checks the bounds and hands the request to routing, whose orders arrive through the orders channel
+//	admit     register hands the request to routing, whose orders arrive through the orders channel
 //	reject    rejectForBound if a bound is reached, reject if routing orders it; the request was not executed
 //	attempt   startAttempt passes an attempt to the connection pool (attempt.go, pool.go, node_writer.go)
 //	retry     another startAttempt after a failed attempt; routing decides whether, when and where
@@ -53,7 +52,9 @@
 	routed       routing.Request // the fields for routing, as far as the message could be parsed
 	attempts     []*attempt      // by number
 	openAttempts int             // number of attempts that have not ended
-	heldBytes    atomic.Int64    // body bytes that it holds, its own and those of answers; any goroutine may use it
+	countedOpen  bool            // it is counted in the director's openRequests
+	ownBodyBytes int64           // bytes reserved for its own body
+	answerBytes  int64           // bytes reserved for the bodies of answers; guarded by the pool's mutex
 }
 
 // requestState is the state of a request. It changes only once, in settle, from requestOpen to another state.
@@ -106,14 +107,14 @@
 	switch err := r.admit(); {
 	case err == nil:
 		r.run()
-	case errors.Is(err, errBoundReached):
+	case errors.Is(err, errShuttingDown):
 		r.rejectForBound()
 	default:
 		r.fail(err.Error())
 	}
 }
 
-// admit parses the request and registers it. It returns errBoundReached if the request must be rejected, and any other error
+// admit parses the request and registers it. It returns errShuttingDown if the request must be rejected, and any other error
 // if the message is invalid.
 func (r *request) admit() (err error) {
 	if r.routed, err = r.parse(); err != nil {
@@ -123,22 +124,20 @@
 }
 
 var (
-	errBoundReached       = errors.New("a bound on requests or body bytes is reached")
+	errShuttingDown       = errors.New("the director shuts down and accepts no more requests")
 	errDuplicateRequestID = errors.New("the request id is in use by another open request")
 )
 
-// register passes the request to routing, which may order attempts before register returns. It returns errBoundReached if a
-// bound is reached, and errDuplicateRequestID if another open request has the same id, since nodes could not distinguish them.
+// register passes the request to routing, which may order attempts before register returns. It returns errShuttingDown if the
+// director accepts no more requests, and errDuplicateRequestID if another open request has the same id, since nodes could not
+// distinguish them.
 func (r *request) register(routed routing.Request) error {
 	d := r.director
-	if d.rejecting.Load() || !r.reserveOwnBody() {
-		return errBoundReached
+	if d.rejecting.Load() {
+		return errShuttingDown
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.requests) >= d.bounds.maxRequests {
-		return errBoundReached
-	}
 	if d.openIDs[r.message.RequestID] {
 		return errDuplicateRequestID
 	}
@@ -350,7 +349,7 @@
 	}
 	r.notifyObserver()
 	r.client.release(r)
-	r.countBytes(-r.heldBytes.Load())
+	r.releaseBounds()
 	r.logEnd()
 	r.unregister()
 }
--- a/internal/director/request_test.go
+++ b/internal/director/request_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"encoding/binary"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,7 +9,6 @@
 
 	"indigochute.example/indigochute/internal/config"
 	"indigochute.example/indigochute/internal/msgpack"
-	"indigochute.example/indigochute/internal/routing"
 )
 
 // Bodies, ids, entity tags and idempotency keys must be forwarded unchanged in both directions.
@@ -149,20 +149,112 @@
 // A request over the bound on body bytes must be rejected immediately, before any node receives it.
 func TestBodyBytesBounded(t *testing.T) {
 	w := start(t, 1)
-	w.director.bodyBytes.Add(w.director.bounds.maxBodyBytes)
+	d, client := w.director, newClientConn(w.director, nil)
+	d.bodyBytes.Add(d.bounds.maxBodyBytes)
 	id := w.sendRequest("order", 5000, "x")
 	if gotID, word, _ := w.readAnswer(); gotID != id || word != "Shed" {
 		t.Fatalf("got answer to %d, %q; want Shed", gotID, word)
 	}
-	w.director.bodyBytes.Add(-w.director.bounds.maxBodyBytes)
-	slow := &request{director: w.director, client: &clientConn{}}
-	if !slow.reserveBody(int(w.director.bounds.maxClientBodyBytes/2)+1) || slow.register(routing.Request{}) != errBoundReached {
-		t.Error("request of a client that holds more than half of its bound: got no errBoundReached")
+	d.bodyBytes.Add(-d.bounds.maxBodyBytes)
+	held := d.bounds.maxClientBodyBytes/2 + 1
+	slow := newRequest(d, client, msgpack.Message{}, d.clock.now())
+	if !client.reserveBody(held) || client.reserveOwnBody(1) || slow.reserveBounds() {
+		t.Error("client that holds more than half of its bound: a request was admitted, want none")
 	}
-	if slow.reserveBody(int(w.director.bounds.maxClientBodyBytes/2)) || w.director.bodyBytes.Load() != slow.heldBytes.Load() {
+	if client.reserveBody(held-1) || d.bodyBytes.Load() != held || client.bodyBytes.Load() != held {
 		t.Error("body over the client's bound: reserved or counted, want neither")
 	}
+	client.releaseBody(held)
 	w.expectServed("order", "x", "-", "")
+	w.expectNothingHeld()
+}
+
+// expectNothingHeld waits until nothing is counted against the bounds any more.
+func (w *harness) expectNothingHeld() {
+	w.t.Helper()
+	d := w.director
+	w.waitUntil("nothing is held", func() bool {
+		return d.bodyBytes.Load() == 0 && d.ownBodyBytes.Load() == 0 && d.openRequests.Load() == 0
+	})
+}
+
+// Bodies of requests may use half of the bound on bodies, so that answers have room. What is over it must be rejected, also the
+// requests of a client that holds little itself.
+func TestOwnBodiesLeaveRoomForAnswers(t *testing.T) {
+	w := start(t, 1)
+	d := w.director
+	half := d.bounds.maxBodyBytes / 2
+	if !d.ownBodyBytes.reserve(half, half) {
+		t.Fatal("half of the bound cannot be reserved")
+	}
+	id := w.sendRequest("order", 5000, "x")
+	if gotID, word, _ := w.readAnswer(); gotID != id || word != "Shed" {
+		t.Errorf("request with a body: got answer to %d, %q; want Shed", gotID, word)
+	}
+	w.expectServed("page", "", "-", "an answer")
+	d.ownBodyBytes.release(half)
+	w.expectServed("order", "x", "-", "")
+	w.expectNothingHeld()
+}
+
+// The number of open requests of all clients is bounded from when they are read. A request over the bound must be rejected.
+func TestOpenRequestsBounded(t *testing.T) {
+	w := start(t, 1)
+	d := w.director
+	d.openRequests.Add(d.bounds.maxRequests)
+	id := w.sendRequest("page", 5000, "")
+	if gotID, word, _ := w.readAnswer(); gotID != id || word != "Shed" {
+		t.Errorf("got answer to %d, %q; want Shed", gotID, word)
+	}
+	d.openRequests.Add(-d.bounds.maxRequests)
+	w.expectServed("page", "", "-", "an answer")
+	w.expectNothingHeld()
+}
+
+// Whatever ends a request, nothing may stay counted against the bounds: an answer, a rejection for a bound, an invalid message, a
+// used message id, a client that leaves before or while its message arrives, and an answer that nobody waits for.
+func TestBoundsReleased(t *testing.T) {
+	w := start(t, 1)
+	w.expectServed("order", "a body", "-", "an answer")
+	w.sendRequest("nothing of ours", 5000, "a body")
+	w.readAnswer()
+	for range 3 * maxOpenPerClient { // more than may be open
+		w.sendRequest("order", 5000, "a body")
+	}
+	w.leaveAndConnect()
+	_, text := w.requestText("order", 5000, "a body")
+	w.write(text + text) // the message id of the second is in use
+	w.leaveAndConnect()
+	w.write(text[:len(text)-1]) // the body is incomplete
+	w.leaveAndConnect()
+	id := w.sendRequest("page", 5000, "")
+	cancelled := w.awaitCommand("GET", id)
+	w.write("\x93\x02\xadcancelRequest\x91\xce" + string(binary.BigEndian.AppendUint32(nil, id)))
+	w.awaitCommand("DROP", id)
+	cancelled.reply(t, "HIT", "-", "an answer that nobody waits for")
+	w.expectNothingHeld()
+}
+
+// leaveAndConnect closes the client's connection and opens another one.
+func (w *harness) leaveAndConnect() {
+	w.conn.Close()
+	w.connectAnother()
+}
+
+// awaitCommand returns the next command with a word and the id of a request, and ignores all others before it.
+func (w *harness) awaitCommand(word string, id uint32) nodeCommand {
+	w.t.Helper()
+	expired := time.After(testTimeout)
+	for {
+		select {
+		case command := <-w.commands:
+			if command.word == word && command.id == fmt.Sprintf("%016x", id) {
+				return command
+			}
+		case <-expired:
+			w.t.Fatalf("no node received %s of request %d", word, id)
+		}
+	}
 }
 
 // The send time is computed from the size of the answer and the configured transfer rate. It is 0 for an empty answer or without
--- a/internal/msgpack/client.go
+++ b/internal/msgpack/client.go
@@ -68,7 +68,7 @@
 	if _, err := in.Peek(1); err != nil {
 		return response, err
 	}
-	err = (&Reader{in}).response(&response)
+	err = (&Reader{in: in}).response(&response)
 	return response, unexpectedEOF(err)
 }
 
--- a/internal/msgpack/decode.go
+++ b/internal/msgpack/decode.go
@@ -8,10 +8,21 @@
 
 // Reader reads messages from a stream. Its unexported methods read single values. Each checks an announced length against its limit
 // before it allocates, so that a sender cannot make a director allocate more than the limit.
-type Reader struct{ in *bufio.Reader }
+type Reader struct {
+	in    *bufio.Reader
+	admit BodyAdmission // nil: all bodies are admitted
+}
+
+// BodyAdmission decides whether the body of a request, whose length in bytes it receives, may be held in memory. It is called before
+// memory for the body is allocated, and not for an empty body.
+type BodyAdmission func(length int) bool
 
 // NewReader returns a Reader of a stream. Nothing else may read the stream while the Reader is in use.
-func NewReader(in *bufio.Reader) *Reader { return &Reader{in} }
+func NewReader(in *bufio.Reader) *Reader { return &Reader{in: in} }
+
+// AdmitBodies sets what decides about the bodies of all further requests. The body of a request that is not admitted is read and
+// discarded, and Message.BodyDropped is set.
+func (r *Reader) AdmitBodies(admit BodyAdmission) { r.admit = admit }
 
 // arrayHead reads the head of an array and returns the number of values that follow. The caller checks the number.
 func (r *Reader) arrayHead() (int, error) {
@@ -142,18 +153,26 @@
 
 // bytes reads a text or a byte string of up to limit bytes. It returns nil for an empty one and for nil.
 func (r *Reader) bytes(limit int) ([]byte, error) {
-	length, err := r.bytesHead()
-	if err != nil {
-		return nil, err
-	}
-	if err := checkLimit(length, limit, "bytes"); err != nil {
+	length, err := r.bytesLength(limit)
+	if err != nil || length == 0 {
 		return nil, err
 	}
-	if length == 0 {
-		return nil, nil
+	return r.content(length)
+}
+
+// bytesLength reads the head of a text or a byte string and checks its length against the limit.
+func (r *Reader) bytesLength(limit int) (int, error) {
+	length, err := r.bytesHead()
+	if err != nil {
+		return 0, err
 	}
+	return length, checkLimit(length, limit, "bytes")
+}
+
+// content reads the content of a text or a byte string, whose head was read.
+func (r *Reader) content(length int) ([]byte, error) {
 	value := make([]byte, length)
-	_, err = io.ReadFull(r.in, value)
+	_, err := io.ReadFull(r.in, value)
 	return value, err
 }
 
--- a/internal/msgpack/message.go
+++ b/internal/msgpack/message.go
@@ -67,7 +67,7 @@
 		case position == 0:
 			err = r.fields(message)
 		case position == 1 && message.Kind == Request:
-			message.Body, err = r.bytes(maxBody)
+			err = r.body(message)
 		default:
 			err = r.skip(0)
 		}
@@ -81,6 +81,21 @@
 	return nil
 }
 
+// body reads the body of a request, or discards it if it is not admitted.
+func (r *Reader) body(message *Message) error {
+	length, err := r.bytesLength(maxBody)
+	if err != nil || length == 0 {
+		return err
+	}
+	if r.admit != nil && !r.admit(length) {
+		message.BodyDropped = true
+		_, err = r.in.Discard(length)
+		return err
+	}
+	message.Body, err = r.content(length)
+	return err
+}
+
 // notification reads a cancellation, and skips the arguments of any other notification.
 func (r *Reader) notification(message *Message) error {
 	method, err := r.text(maxMethod)
--- a/internal/msgpack/message_test.go
+++ b/internal/msgpack/message_test.go
@@ -139,6 +139,43 @@
 	}
 }
 
+// TestReadDropsBodiesNotAdmitted checks that the admission of a body is decided by its length, that it is not asked for an empty body,
+// and that the message behind a body that was not admitted is read correctly.
+func TestReadDropsBodiesNotAdmitted(t *testing.T) {
+	var stream []byte
+	for id, body := range []string{"first", "", "the last body"} {
+		stream = AppendRequest(stream, &Message{ID: uint32(id), Class: "log", RequestID: "9b", Object: "7f", Body: []byte(body)})
+	}
+	in := NewReader(bufio.NewReaderSize(bytes.NewReader(stream), 16))
+	var asked []int
+	in.AdmitBodies(func(length int) bool {
+		asked = append(asked, length)
+		return length > 5
+	})
+	for _, want := range []Message{
+		{ID: 0, BodyDropped: true},
+		{ID: 1},
+		{ID: 2, Body: []byte("the last body")},
+	} {
+		want.HasID, want.Class, want.RequestID, want.Object = true, "log", "9b", "7f"
+		if got, err := in.Read(); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, error %v, want %+v", got, err, want)
+		}
+	}
+	if want := []int{5, 13}; !slices.Equal(asked, want) {
+		t.Errorf("admission was asked for lengths %v, want %v", asked, want)
+	}
+	truncated := NewReader(bufio.NewReader(bytes.NewReader(stream[:len(stream)-1])))
+	truncated.AdmitBodies(func(int) bool { return false })
+	var err error
+	for range 3 {
+		_, err = truncated.Read()
+	}
+	if err != io.ErrUnexpectedEOF {
+		t.Errorf("stream that ends within a dropped body: got %v, want %v", err, io.ErrUnexpectedEOF)
+	}
+}
+
 // TestReadNotificationsAndReadinessChecks reads a cancellation, a readiness check and an unknown notification from one stream.
 func TestReadNotificationsAndReadinessChecks(t *testing.T) {
 	stream := "\x93\x02\xadcancelRequest\x91\x07" + "\x94\x00\x08\xa5alive\x91\x80" + "\x93\x02\xa3new\x92\x81\xa1a\xcb12345678\xc7\x01xx"
--- a/internal/msgpack/protocol.go
+++ b/internal/msgpack/protocol.go
@@ -125,4 +125,5 @@
 	Group          string
 	ETag           string // entity tag of the client's own copy; "": it has none
 	Body           []byte
+	BodyDropped    bool // the body was discarded because it was not admitted
 }
--- a/internal/msgpack/values.go
+++ b/internal/msgpack/values.go
@@ -20,7 +20,7 @@
 // NewValues returns a reader of the values in a complete message.
 func NewValues(message []byte) *Values {
 	source := bytes.NewReader(message)
-	return &Values{reader: Reader{bufio.NewReaderSize(source, valuesBuffer)}, source: source}
+	return &Values{reader: Reader{in: bufio.NewReaderSize(source, valuesBuffer)}, source: source}
 }
 
 // Uint reads an unsigned integer.
--- a/internal/resp/allocs_test.go
+++ b/internal/resp/allocs_test.go
@@ -35,7 +35,7 @@
 		{"read a response", 9, func() {
 			source.Reset(rawResponse)
 			in.Reset(source)
-			if _, err := ReadResponse(in); err != nil {
+			if _, err := ReadResponse(in, nil); err != nil {
 				t.Fatal(err)
 			}
 		}},
--- a/internal/resp/bulk.go
+++ b/internal/resp/bulk.go
@@ -67,16 +67,34 @@
 	if err != nil {
 		return nil, err
 	}
+	return readContent(in, length)
+}
+
+// readContent reads the content of a bulk string, whose length was read, and the line's end behind it.
+func readContent(in *bufio.Reader, length int) ([]byte, error) {
 	value := make([]byte, length)
 	if _, err := io.ReadFull(in, value); err != nil {
 		return nil, err
 	}
+	return value, readLineEnd(in)
+}
+
+// discardContent does the same as readContent without keeping the content.
+func discardContent(in *bufio.Reader, length int) error {
+	if _, err := in.Discard(length); err != nil {
+		return err
+	}
+	return readLineEnd(in)
+}
+
+// readLineEnd reads the line's end behind the content of a bulk string. It returns ErrMalformed for anything else.
+func readLineEnd(in *bufio.Reader) error {
 	var end [len(lineEnd)]byte
 	if _, err := io.ReadFull(in, end[:]); err != nil {
-		return nil, err
+		return err
 	}
 	if string(end[:]) != lineEnd {
-		return nil, ErrMalformed
+		return ErrMalformed
 	}
-	return value, nil
+	return nil
 }
--- a/internal/resp/request.go
+++ b/internal/resp/request.go
@@ -27,6 +27,23 @@
 // AppendRequest appends a request. Durations are written in whole milliseconds. Shorter ones are written as 1, since 0 would mean no
 // limit.
 func AppendRequest(b []byte, request *Request) []byte {
+	b = appendRequestHead(b, request)
+	b = append(b, request.Body...)
+	return append(b, lineEnd...)
+}
+
+// RequestParts returns the bytes of a request, as AppendRequest appends them, in parts that must be sent in order. One of them is the
+// body itself, so that it is not copied.
+func RequestParts(request *Request) [][]byte {
+	head := appendRequestHead(nil, request)
+	if len(request.Body) == 0 {
+		return [][]byte{append(head, lineEnd...)}
+	}
+	return [][]byte{head, request.Body, []byte(lineEnd)}
+}
+
+// appendRequestHead appends a request up to its body, which follows with a line's end.
+func appendRequestHead(b []byte, request *Request) []byte {
 	fields := make([]byte, 0, requestFieldsBytes)
 	fields = appendText(fields, fieldClass, request.Class)
 	fields = appendText(fields, fieldObject, request.Object)
@@ -54,7 +71,7 @@
 	b = appendBulk(b, commandGet)
 	b = appendBulk(b, request.ID)
 	b = appendBulk(b, fields)
-	return appendBulk(b, request.Body)
+	return appendLength(b, prefixBulk, len(request.Body))
 }
 
 // appendMilliseconds appends a field that is a duration in whole milliseconds, 1 at least.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -26,7 +26,7 @@
 
 // readResponse reads a response through a buffer that is shorter than most responses.
 func readResponse(text string) (Response, error) {
-	return ReadResponse(bufio.NewReaderSize(strings.NewReader(text), 32))
+	return ReadResponse(bufio.NewReaderSize(strings.NewReader(text), 32), nil)
 }
 
 // TestReadResponse checks that fields are read with any body, and that unknown fields are ignored.
@@ -53,6 +53,65 @@
 	}
 }
 
+// TestReadDropsBodiesNotAdmitted checks that the admission of a body is decided by the id, the status and the length, that it is not
+// asked for an empty body, and that the response behind a body that was not admitted is read correctly.
+func TestReadDropsBodiesNotAdmitted(t *testing.T) {
+	stream := array("1", "HIT", "-", "first body") + array("2", "FAULT", "-", "second") + array("3", "HIT", "-", "") + array("4", "HIT", "-", "last")
+	in := bufio.NewReaderSize(strings.NewReader(stream), 32)
+	var asked []string
+	admit := func(id string, status Status, length int) bool {
+		asked = append(asked, fmt.Sprintf("%s %d %d", id, status, length))
+		return id == "4"
+	}
+	for _, want := range []Response{
+		{ID: "1", Status: Hit, BodyDropped: true},
+		{ID: "2", Status: Failed, BodyDropped: true},
+		{ID: "3", Status: Hit, Body: []byte{}},
+		{ID: "4", Status: Hit, Body: []byte("last")},
+	} {
+		if got, err := ReadResponse(in, admit); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, error %v, want %+v", got, err, want)
+		}
+	}
+	if want := []string{"1 0 10", "2 4 6", "4 0 4"}; !reflect.DeepEqual(asked, want) {
+		t.Errorf("admission was asked for %q, want %q", asked, want)
+	}
+}
+
+// TestReadTruncatedDroppedBody checks that a stream that ends within a body that was not admitted gives io.ErrUnexpectedEOF, and that
+// anything but a line's end behind such a body is malformed.
+func TestReadTruncatedDroppedBody(t *testing.T) {
+	complete := array("9b1f", "HIT", "-", "body")
+	for length := 1; length < len(complete); length++ {
+		if _, err := ReadResponse(bufio.NewReader(strings.NewReader(complete[:length])), DropBodies); err != io.ErrUnexpectedEOF {
+			t.Errorf("truncated at %d: got %v, want %v", length, err, io.ErrUnexpectedEOF)
+		}
+	}
+	malformed := strings.TrimSuffix(complete, "\r\n") + "xx"
+	if _, err := ReadResponse(bufio.NewReader(strings.NewReader(malformed)), DropBodies); !errors.Is(err, ErrMalformed) {
+		t.Errorf("no line's end: got %v, want %v", err, ErrMalformed)
+	}
+}
+
+// TestRequestPartsMatchAppendRequest checks that the parts of a request are the bytes that AppendRequest appends, and that the body is
+// not copied.
+func TestRequestPartsMatchAppendRequest(t *testing.T) {
+	for _, body := range []string{"", "a body"} {
+		request := Request{ID: "9b", Class: "v", Object: "7f", Timeout: time.Second, Body: []byte(body)}
+		parts := RequestParts(&request)
+		var joined []byte
+		for _, part := range parts {
+			joined = append(joined, part...)
+		}
+		if want := AppendRequest(nil, &request); string(joined) != string(want) {
+			t.Errorf("got %q, want %q", joined, want)
+		}
+		if body != "" && &parts[1][0] != &request.Body[0] {
+			t.Error("the body was copied")
+		}
+	}
+}
+
 // TestReadTruncatedResponse checks that a stream that ends within a response gives io.ErrUnexpectedEOF, and an empty one io.EOF.
 func TestReadTruncatedResponse(t *testing.T) {
 	complete := array("9b1f", "HIT", "note=cached", "body")
--- a/internal/resp/response.go
+++ b/internal/resp/response.go
@@ -17,21 +17,30 @@
 	Waited  time.Duration // time until the first byte, or the failure, of the source; 0: not reported
 	Fetched int64         // Unix milliseconds at which the origin sent this copy; 0: not reported
 	Body    []byte
+	// BodyDropped reports whether the body was discarded because it was not admitted.
+	BodyDropped bool
 }
 
+// BodyAdmission decides whether the body of the response with an id and a status, whose length in bytes it receives, may be held in
+// memory. It is called before memory for the body is allocated, and not for an empty body.
+type BodyAdmission func(id string, status Status, length int) bool
+
+// DropBodies is the BodyAdmission that admits no body.
+func DropBodies(string, Status, int) bool { return false }
+
 // ReadResponse reads the next response of a stream. It returns io.EOF if the stream ends between responses, io.ErrUnexpectedEOF if it
 // ends within one, and ErrMalformed, possibly wrapped, or a *LimitError for a response that violates the protocol. After an error the
-// stream must not be read further.
-func ReadResponse(in *bufio.Reader) (response Response, err error) {
+// stream must not be read further. A body that is not admitted is read and discarded. If admit is nil, all bodies are admitted.
+func ReadResponse(in *bufio.Reader, admit BodyAdmission) (response Response, err error) {
 	if _, err := in.Peek(1); err != nil {
 		return response, err
 	}
-	err = response.read(in)
+	err = response.read(in, admit)
 	return response, unexpectedEOF(err)
 }
 
 // read reads the four bulk strings of a response.
-func (r *Response) read(in *bufio.Reader) error {
+func (r *Response) read(in *bufio.Reader, admit BodyAdmission) error {
 	length, err := readLength(in, prefixArray, responseWords)
 	if err != nil {
 		return err
@@ -59,7 +68,20 @@
 	if err := parseFields(fields, r.setField); err != nil {
 		return err
 	}
-	r.Body, err = readBulk(in, maxBody)
+	return r.readBody(in, admit)
+}
+
+// readBody reads the body of a response, or discards it if it is not admitted.
+func (r *Response) readBody(in *bufio.Reader, admit BodyAdmission) error {
+	length, err := readLength(in, prefixBulk, maxBody)
+	if err != nil {
+		return err
+	}
+	if length > 0 && admit != nil && !admit(r.ID, r.Status, length) {
+		r.BodyDropped = true
+		return discardContent(in, length)
+	}
+	r.Body, err = readContent(in, length)
 	return err
 }
 
--- a/internal/testing/emulator/machine_test.go
+++ b/internal/testing/emulator/machine_test.go
@@ -20,7 +20,7 @@
 	}
 	defer conn.Close()
 	conn.Write([]byte("*2\r\n$4\r\nPING\r\n$1\r\nx\r\n"))
-	response, err := resp.ReadResponse(bufio.NewReader(conn))
+	response, err := resp.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil || response.Status != resp.Pong || response.ID != "x" {
 		t.Errorf("response to a health check: got %+v, %v, want a pong with ID x", response, err)
 	}
