Leadership lasts no longer than the votes of a majority, which state their duration

Seen: the lease of five control machines was lengthened from 1.2 s to 8 s by restarts in turn, as docs/control-operators.md allowed.

Cause: grantVote (voter.go) keeps a vote for the voter's own lease, extendLeadership (election.go) counted it for the leader's own lease, and renewSet (leader.go) grants leases for as long as the leadership lasts.

Ruled out: the quiet period, the handover and clock drift: in a simulation with 1% drift the cut leader renewed the leases from its own table, and the same cut with equal leases has one holder.

Change: a granted vote states its duration, in the field Duration that votes left at 0, so the wire form is as before. A leader leads from the request on for as long as a majority of the votes last, at most for its own lease, and requests votes three times in that span. All leases end with the leadership, so extendLeadership alone keeps this. With equal leases nothing changes: TestDecisionsMatchRecordedHash has its old hash, with the duration taken out of votes after it was checked.

--- a/internal/lease/config.go
+++ b/internal/lease/config.go
@@ -16,7 +16,7 @@
 }
 
 // Config is the configuration of one instance. Only Name, Seed and StartUnixMilli differ between the instances of an
-// installation.
+// installation. While Lease and Heartbeat are being lengthened by restarts in turn, they may differ as well.
 type Config struct {
 	Name      string        // name of this instance
 	Members   []string      // names of all instances, this one included
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -28,6 +28,7 @@
 	leaderTerm      uint64                // term that a majority voted for; 0: none. Fencing tokens come from this term only
 	voteRounds      map[uint64]*voteRound // rounds in progress by sequence number
 	leaderUntil     time.Duration         // when the leadership expires
+	renewalInterval time.Duration         // interval at which a leader requests its votes again
 	nextVoteRequest time.Duration         // when the next round of votes, or the next campaign, is due
 	inheritedTable  *leaseTable           // table of a leader that left, if this instance is its successor; nil otherwise
 	table           *leaseTable           // table of this instance as leader
@@ -38,9 +39,9 @@
 // voteRound is one request for votes, sent to all instances.
 type voteRound struct {
 	requestedAt        time.Duration
-	votes              map[string]bool // names of the instances that granted their vote
-	inheritedLeasesEnd time.Duration   // when all leases of leaders that left have expired
-	inheritedTerm      uint64          // highest term of those leaders
+	votes              map[string]time.Duration // by instance that granted its vote: how long the vote counts from the request
+	inheritedLeasesEnd time.Duration            // when all leases of leaders that left have expired
+	inheritedTerm      uint64                   // highest term of those leaders
 }
 
 const (
@@ -139,10 +140,11 @@
 func (n *Instance) requestVotes(now time.Duration) []Message {
 	n.sequence++
 	n.dropExpiredRounds(now)
-	n.voteRounds[n.sequence] = &voteRound{requestedAt: now, votes: map[string]bool{}}
-	n.nextVoteRequest = now + n.config.Heartbeat
-	if !n.IsLeader(now) { // the random delay keeps candidates that split the votes from requesting votes at the same time again
-		n.nextVoteRequest += n.randomPart(n.config.Lease)
+	n.voteRounds[n.sequence] = &voteRound{requestedAt: now, votes: map[string]time.Duration{}}
+	if n.IsLeader(now) {
+		n.nextVoteRequest = now + n.renewalInterval
+	} else { // the random delay keeps candidates that split the votes from requesting votes at the same time again
+		n.nextVoteRequest = now + n.config.Heartbeat + n.randomPart(n.config.Lease)
 	}
 	request := voteRequest{term: n.candidateTerm, sequence: n.sequence, fromLeader: n.IsLeader(now)}
 	return n.broadcast(now, request.message())
@@ -185,7 +187,7 @@
 	if round == nil || n.role == follower || response.term != n.candidateTerm {
 		return
 	}
-	round.votes[voter] = true
+	round.votes[voter] = n.countedDuration(response)
 	if response.inheritedLeases > 0 {
 		round.inheritedLeasesEnd = max(round.inheritedLeasesEnd, now+n.config.longestSpan(response.inheritedLeases))
 		round.inheritedTerm = max(round.inheritedTerm, response.inheritedTerm)
@@ -199,6 +201,22 @@
 	n.extendLeadership(now, round)
 }
 
+// countedDuration returns how long a granted vote counts: as long as the voter states, but not longer than the lease of this
+// instance. A voter of an earlier release states nothing, and is assumed to have the same lease.
+func (n *Instance) countedDuration(response voteResponse) time.Duration {
+	if response.duration <= 0 {
+		return n.config.Lease
+	}
+	return min(n.config.Lease, response.duration)
+}
+
+// duration returns how long a majority of the instances votes for no other instance, counted from the request: some majority of
+// the votes lasts that long, and every other majority has a voter in common with that one. There must be at least quorum votes.
+func (round *voteRound) duration(quorum int) time.Duration {
+	durations := slices.Sorted(maps.Values(round.votes))
+	return durations[len(durations)-quorum]
+}
+
 // handleRejectedVote adopts the term of the response if it is the highest known. The voter may know a higher term than the leader,
 // for instance after the voter restarted. Then the leader requests votes for a term above that from now on. It issues no fencing
 // tokens of the new term before a majority has voted for it.
@@ -231,11 +249,14 @@
 }
 
 // extendLeadership renews the leadership after a majority has granted a round. Its duration counts from the request for the votes
-// rather than from their grant, so that the leadership ends before the votes expire.
+// rather than from their grant, so that the leadership ends before the votes expire. No lease is granted beyond the leadership, so
+// this bounds all leases by the votes. If votes are shorter than the lease of this instance, it requests them more often.
 func (n *Instance) extendLeadership(now time.Duration, round *voteRound) {
-	n.leaderUntil = max(n.leaderUntil, round.requestedAt+n.config.Lease)
+	duration := round.duration(n.quorum)
+	n.leaderUntil = max(n.leaderUntil, round.requestedAt+duration)
 	n.leaderTerm = n.candidateTerm
-	n.nextVoteRequest = min(n.nextVoteRequest, now+n.config.Heartbeat)
+	n.renewalInterval = min(n.config.Heartbeat, duration/minRenewalsPerLease)
+	n.nextVoteRequest = min(n.nextVoteRequest, now+n.renewalInterval)
 }
 
 // nextFence returns the next fencing token. It is higher than all tokens that any leader issued before.
--- a/internal/lease/instance.go
+++ b/internal/lease/instance.go
@@ -6,13 +6,15 @@
 //
 // At most one instance at a time is the leader: a majority has voted for it, and votes for no other until the votes expire. The
 // leader grants leases to instances that send heartbeats, never for longer than its own votes last. An instance that uses a
-// lease or a vote measures its duration by its own clock, from before it sent the request. An instance that waits for a lease or a
+// lease or a vote measures its duration by its own clock, from before it sent the request. Each vote states its duration, since
+// Config.Lease differs between instances while it is being lengthened by restarts in turn. An instance that waits for a lease or a
 // vote to expire waits longer, by as much as two clocks may differ (Config.Drift). Therefore a lease has expired at its holder
 // before any other instance can get it. Likewise all leases of a leader have expired before another instance grants any, unless
 // a leaving leader hands them over in its table.
 //
 // Nothing is stored across a restart, so an instance that starts cannot determine whether it voted before. Therefore it does not
-// vote during a quiet period, until a vote of its earlier incarnation has expired.
+// vote during a quiet period, until a vote of its earlier incarnation has expired. Config.Lease of the earlier incarnation must not
+// have been longer, so it may be shortened only while all instances are stopped.
 package lease
 
 import (
--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -66,6 +66,7 @@
 	term            uint64 // highest term that the voter knows
 	sequence        uint64 // sequence number of the request
 	granted         bool
+	duration        time.Duration // how long the voter votes for no other instance, if granted; 0: not stated, as by earlier releases
 	inheritedLeases time.Duration // longest remaining time of the leases of leaders that left; 0: there are none
 	inheritedTerm   uint64        // highest term of those leaders
 }
@@ -76,6 +77,7 @@
 		Term:            response.term,
 		Sequence:        response.sequence,
 		Granted:         response.granted,
+		Duration:        response.duration,
 		InheritedLeases: response.inheritedLeases,
 		InheritedTerm:   response.inheritedTerm,
 	}
@@ -86,6 +88,7 @@
 		term:            message.Term,
 		sequence:        message.Sequence,
 		granted:         message.Granted,
+		duration:        message.Duration,
 		inheritedLeases: message.InheritedLeases,
 		inheritedTerm:   message.InheritedTerm,
 	}
--- a/internal/lease/simulation_test.go
+++ b/internal/lease/simulation_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"io"
@@ -23,9 +24,10 @@
 	names         []string
 	duties        []Duty
 	instances     map[string]*simulatedInstance
-	clockDrift    float64 // actual drift of the clocks of instances
-	assumedDrift  float64 // Config.Drift
-	faultInterval int     // mean number of steps between two faults
+	clockDrift    float64                  // actual drift of the clocks of instances
+	assumedDrift  float64                  // Config.Drift
+	faultInterval int                      // mean number of steps between two faults
+	leases        map[string]time.Duration // Config.Lease of instances that start with another one than simulatedLease
 
 	// Network.
 	inTransit []delivery
@@ -100,6 +102,7 @@
 	sim := &simulation{
 		random:        rand.New(rand.NewPCG(config.seed, 7)),
 		instances:     map[string]*simulatedInstance{},
+		leases:        map[string]time.Duration{},
 		partition:     map[string]int{},
 		clockDrift:    config.clockDrift,
 		assumedDrift:  config.assumedDrift,
@@ -158,7 +161,7 @@
 	node.instance = New(Config{
 		Name:           name,
 		Members:        sim.names,
-		Lease:          simulatedLease,
+		Lease:          cmp.Or(sim.leases[name], simulatedLease),
 		Heartbeat:      simulatedHeartbeat,
 		Drift:          sim.assumedDrift,
 		Duties:         sim.duties,
@@ -267,7 +270,7 @@
 	for _, message := range list {
 		raw := Append(nil, &message)
 		if sim.record != nil {
-			sim.record.Write(raw)
+			sim.record.Write(recordedForm(message))
 		}
 		sim.messages++
 		sim.bytes += len(raw)
@@ -285,6 +288,18 @@
 	}
 }
 
+// recordedForm returns a message in the form in which recordedDecisions was recorded: at that time votes did not state their
+// duration. It panics if a vote states another duration than the lease of all instances.
+func recordedForm(message Message) []byte {
+	if message.Kind == Vote && message.Granted {
+		if message.Duration != simulatedLease {
+			panic(fmt.Sprintf("a vote states a duration of %v, want %v", message.Duration, simulatedLease))
+		}
+		message.Duration = 0
+	}
+	return Append(nil, &message)
+}
+
 // connected reports whether messages from one instance can reach another.
 func (sim *simulation) connected(from, to string) bool {
 	return sim.partition[from] == sim.partition[to] && sim.oneWay != [2]string{from, to} &&
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -16,7 +16,8 @@
 }
 
 // handleVoteRequest grants a vote if that is allowed, and responds with the highest known term. The response also reports how long
-// the leases of leaders that left may last.
+// the vote lasts, which differs between instances while the configured lease is being changed, and how long the leases of leaders
+// that left may last.
 func (n *Instance) handleVoteRequest(now time.Duration, from string, request voteRequest) []Message {
 	if request.fromLeader && from != n.config.Name {
 		n.yieldToLeader(now)
@@ -30,6 +31,9 @@
 		n.highestTerm++ // the response reports this term, and the candidate requests votes again for a higher one
 	}
 	response := voteResponse{term: n.highestTerm, sequence: request.sequence, granted: granted}
+	if granted {
+		response.duration = n.config.Lease
+	}
 	if remaining := n.inheritedLeasesEnd - now; remaining > 0 {
 		response.inheritedLeases, response.inheritedTerm = remaining, n.inheritedTerm
 	}
