--- a/cmd/director/memory_test.go
+++ b/cmd/director/memory_test.go
@@ -101,15 +101,10 @@
 					time.Sleep(time.Millisecond)
 				}
 				id, _ := conn.record(responseTimeout)
-				conn.conn.Write(msgpack.AppendRequest(nil, &msgpack.Message{
-					ID:        id,
-					Class:     "page",
-					RequestID: fmt.Sprintf("%016x", nextRequestNumber()),
-					Object:    fmt.Sprintf("d%015x", document/partsOfObject),
-					Part:      strconv.Itoa(document % partsOfObject),
-					Group:     "3",
-					Timeout:   2 * time.Second,
-				}))
+				message := pageMessage(id, 2*time.Second)
+				message.Object = fmt.Sprintf("d%015x", document/partsOfObject)
+				message.Part = strconv.Itoa(document % partsOfObject)
+				conn.conn.Write(msgpack.AppendRequest(nil, message))
 			}
 		})
 	}
@@ -144,23 +139,14 @@
 
 // request returns one message of the burst.
 func (b *burst) request(id uint32) []byte {
-	unique := fmt.Sprintf("%016x", nextRequestNumber())
-	message := msgpack.Message{
-		ID:        id,
-		Class:     "page",
-		RequestID: unique,
-		Object:    unique,
-		Part:      "0",
-		Group:     "3",
-		Timeout:   2 * time.Second,
-		Body:      make([]byte, b.bodyBytes),
-	}
+	message := pageMessage(id, 2*time.Second)
+	message.Body = make([]byte, b.bodyBytes)
 	if b.fieldBytes > 0 {
 		long := strings.Repeat("f", b.fieldBytes)
 		message.RequestID, message.Object, message.Part = long, long, long
 		message.Group, message.ETag, message.IdempotencyKey = long, long, long
 	}
-	return msgpack.AppendRequest(nil, &message)
+	return msgpack.AppendRequest(nil, message)
 }
 
 // sendUntilStopped sends usual requests on a connection at short intervals. The returned function stops that and returns their number.
--- a/cmd/director/stubs_test.go
+++ b/cmd/director/stubs_test.go
@@ -152,10 +152,10 @@
 	return listener.Addr().String()
 }
 
-// pageRequest returns a request of class page for an object that no other request asks for.
-func pageRequest(id uint32, timeout time.Duration) []byte {
+// pageMessage returns a request of class page for an object that no other request asks for.
+func pageMessage(id uint32, timeout time.Duration) *msgpack.Message {
 	unique := fmt.Sprintf("%016x", nextRequestNumber())
-	return msgpack.AppendRequest(nil, &msgpack.Message{
+	return &msgpack.Message{
 		ID:        id,
 		Class:     "page",
 		RequestID: unique,
@@ -163,7 +163,12 @@
 		Part:      "0",
 		Group:     "3",
 		Timeout:   timeout,
-	})
+	}
+}
+
+// pageRequest returns a pageMessage in the form in which a client writes it.
+func pageRequest(id uint32, timeout time.Duration) []byte {
+	return msgpack.AppendRequest(nil, pageMessage(id, timeout))
 }
 
 // request sends one request on a new connection and returns the response.
--- a/internal/director/node_reader.go
+++ b/internal/director/node_reader.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"indigochute.example/indigochute/internal/resp"
+	"indigochute.example/indigochute/internal/routing"
 )
 
-// This file reads answers from a node.
+// This file reads answers from a node and ends the attempts that they belong to.
 
 const (
 	answerTimeout      = 3 * time.Second        // from the first byte of an answer to its last
@@ -67,3 +68,58 @@
 	}
 	return n, err
 }
+
+// arrivingBody is the body of an answer that is being read, for which bytes are reserved.
+type arrivingBody struct {
+	client *clientConn // whose bytes are reserved; nil: none are
+	size   int64
+}
+
+// release releases the reserved bytes.
+func (b *arrivingBody) release() {
+	if b.client != nil {
+		b.client.releaseBody(b.size)
+	}
+	*b = arrivingBody{}
+}
+
+// admitArrivingBody reserves the bytes of an answer's body that is about to be read. It returns false if the body must be
+// discarded: no client is waiting for it, or it would exceed a bound.
+func (c *nodeConn) admitArrivingBody(id string, status resp.Status, length int) bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	answered := c.open[id]
+	served := status == resp.Hit || status == resp.NotModified
+	if answered == nil || answered.isFinished() || !served || !answered.request.client.reserveBody(int64(length)) {
+		return false
+	}
+	c.arriving = arrivingBody{client: answered.request.client, size: int64(length)}
+	return true
+}
+
+// handleResponse ends the attempt that an answer belongs to. It ignores an answer that belongs to no open attempt: a duplicate,
+// an unsolicited answer, or an answer to a cancelled attempt.
+func (c *nodeConn) handleResponse(response resp.Response) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	defer c.arriving.release()
+	firstByteAt := c.readingSince
+	c.lastAnswer, c.readingSince = c.pool.clock.now(), 0
+	answered := c.open[response.ID]
+	if answered == nil || answered.isFinished() || response.Status == resp.Pong {
+		return
+	}
+	ending := endingOfStatus(response.Status)
+	switch {
+	case ending == AnsweredNotModified && answered.command.ETag == "": // the request named no copy that could be valid
+		ending = AnsweredFault
+	case response.BodyDropped && ending.result() == routing.Served:
+		ending = NoMemory
+	}
+	answered.request.answerBytes += c.arriving.size
+	c.arriving = arrivingBody{} // the request releases it
+	arrivedAt := c.pool.clock.arrivalTime()
+	answered.response, answered.firstByteAt = response, firstByteAt
+	answered.directorStalled = answered.orderedAt <= arrivedAt && arrivedAt < c.lastAnswer
+	c.finishAttempt(answered, ending)
+}
