Less memory for bodies of requests and for buffers of connections to nodes

Seen in trials on a scratch copy: with 1,024 sockets, 160 clients that send 200 bodies at once and a full object table, a director of 32 MB still went over it, 32,276 to 34,544 kB in six runs, one of four without a profile at 32,276, three over 32,768.

Cause: a heap profile at the peak (22 MB live) had 11.5 MB of objects and documents, 4.5 MB of requests' bodies and 3.4 MB of read buffers of 16 KB for some 215 connections to nodes; stacks and the collector took 8 MB beside the heap.

Change: requests' own bodies may use a quarter of the bound on bodies, 2 MB of 32, not half. Read buffers of connections to nodes have 4 KB; longer bodies are read past the buffer.

--- a/cmd/director/memory_test.go
+++ b/cmd/director/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -18,7 +19,8 @@
 // Limits of the director's machine in the tests of memory.
 const (
 	smallMemoryMB = 32
-	smallSockets  = 256
+	fewSockets    = 256
+	manySockets   = 1024
 )
 
 // burst is what many clients send at the same time.
@@ -30,6 +32,7 @@
 	fieldBytes   int // of each field whose length a client can choose
 	responseSize int // of the body of the node's response
 	documents    int // requested one after the other before the burst, so that the director has records of them
+	sockets      int // of the director; 0: fewSockets
 }
 
 // TestBurstsStayWithinMemory sends a director bursts of messages whose contents together are many times its memory. Guards against
@@ -45,12 +48,12 @@
 		{name: "bodies of responses", clients: 100, requests: 32, responseSize: 256 << 10},
 		{name: "bodies of requests and responses", clients: 100, requests: 32, bodyBytes: 48000, responseSize: 256 << 10},
 		{name: "bodies of requests with a full object table", clients: 40, requests: 200, bodyBytes: 48000, documents: 32768},
+		{name: "the same with many sockets", clients: 80, requests: 100, bodyBytes: 48000, documents: 32768, sockets: manySockets},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			node := startBurstNode(t, test.responseSize)
-			p, _ := startWith(t, smallSockets, func(listen string) string {
-				return smallConfiguration(listen, node)
-			})
+			sockets := cmp.Or(test.sockets, fewSockets)
+			p, _ := startWith(t, sockets, func(listen string) string { return smallConfiguration(listen, sockets, node) })
 			test.requestDocuments(t, p)
 			usual, err := connect(p.addr)
 			if err != nil {
@@ -78,11 +81,11 @@
 }
 
 // smallConfiguration returns the configuration of a director on a machine with smallMemoryMB, whose only class has objects in parts.
-func smallConfiguration(listen, node string) string {
+func smallConfiguration(listen string, sockets int, node string) string {
 	return strings.NewReplacer(
 		`"memory_mb":64`, fmt.Sprintf(`"memory_mb":%d`, smallMemoryMB),
 		`"passOn":[false]`, `"passOn":[false],"inParts":[true]`,
-	).Replace(configure(listen, smallSockets, unreachable, node))
+	).Replace(configure(listen, sockets, unreachable, node))
 }
 
 // requestDocuments requests as many different documents as the test wants.
--- a/internal/director/bounds.go
+++ b/internal/director/bounds.go
@@ -21,6 +21,7 @@
 	nodeSockets        int   // connections to nodes
 	maxRequests        int64 // requests that were read, until their goroutines end
 	maxBodyBytes       int64 // bodies of requests and answers, from before they are read until their requests end
+	maxOwnBodyBytes    int64 // of these, the bodies of requests, so that answers have room
 	maxClientBodyBytes int64 // of these, per client, so that a client that reads slowly does not use up the memory for others
 }
 
@@ -32,7 +33,8 @@
 
 // newBounds divides the configured sockets and memory. Half of the sockets are for clients, including connections that are
 // closing. A third is for nodes. The rest is for discovery, the listener and a reserve. A quarter of the memory is for
-// requests, and another quarter for bodies.
+// requests, and another quarter for bodies, a quarter of which at most are those of requests. The other half is for the records of
+// decisions, buffers of connections, stacks and the collector.
 func newBounds(conf *config.Config) bounds {
 	quarter := int64(conf.MemoryMB) * bytesPerMB / 4
 	requestsInMemory := quarter / bytesPerRequest
@@ -41,6 +43,7 @@
 		nodeSockets:        max(1, conf.Sockets/3),
 		maxRequests:        max(1, min(int64(conf.MaxOpenRequests), requestsInMemory)),
 		maxBodyBytes:       quarter,
+		maxOwnBodyBytes:    quarter / 4,
 		maxClientBodyBytes: quarter / 4,
 	}
 }
@@ -73,12 +76,11 @@
 // release subtracts an amount that was reserved.
 func (c *boundedCounter) release(amount int64) { c.Add(-amount) }
 
-// reserveOwnBody reserves the bytes of a request's own body before they are read. Bodies of requests may use half of the
-// director's bound on bodies, and a client may send no request while it holds more than half of its own bound. The rest is left
-// for answers.
+// reserveOwnBody reserves the bytes of a request's own body before they are read. A client may send no request while it holds more
+// than half of its bound. The rest is left for answers.
 func (c *clientConn) reserveOwnBody(size int64) bool {
 	d := c.director
-	if c.holdsTooMuch() || !d.ownBodyBytes.reserve(size, d.bounds.maxBodyBytes/2) {
+	if c.holdsTooMuch() || !d.ownBodyBytes.reserve(size, d.bounds.maxOwnBodyBytes) {
 		return false
 	}
 	if !c.reserveBody(size) {
--- a/internal/director/node_reader.go
+++ b/internal/director/node_reader.go
@@ -16,7 +16,7 @@
 const (
 	answerTimeout      = 3 * time.Second        // from the first byte of an answer to its last
 	answerStallTimeout = 500 * time.Millisecond // longest time between two reads within one answer
-	nodeReadBuffer     = 16 << 10               // bytes
+	nodeReadBuffer     = 4 << 10                // bytes; what is longer is read past the buffer
 )
 
 // read reads the node's answers until the connection ends.
--- a/internal/director/request_test.go
+++ b/internal/director/request_test.go
@@ -178,21 +178,21 @@
 	})
 }
 
-// Bodies of requests may use half of the bound on bodies, so that answers have room. What is over it must be rejected, also the
-// requests of a client that holds little itself.
+// Bodies of requests have a bound of their own, so that answers have room. What is over it must be rejected, also the requests of a
+// client that holds little itself.
 func TestOwnBodiesLeaveRoomForAnswers(t *testing.T) {
 	w := start(t, 1)
 	d := w.director
-	half := d.bounds.maxBodyBytes / 2
-	if !d.ownBodyBytes.reserve(half, half) {
-		t.Fatal("half of the bound cannot be reserved")
+	bound := d.bounds.maxOwnBodyBytes
+	if !d.ownBodyBytes.reserve(bound, bound) {
+		t.Fatal("the bound cannot be reserved")
 	}
 	id := w.sendRequest("order", 5000, "x")
 	if gotID, word, _ := w.readAnswer(); gotID != id || word != "Shed" {
 		t.Errorf("request with a body: got answer to %d, %q; want Shed", gotID, word)
 	}
 	w.expectServed("page", "", "-", "an answer")
-	d.ownBodyBytes.release(half)
+	d.ownBodyBytes.release(bound)
 	w.expectServed("order", "x", "-", "")
 	w.expectNothingHeld()
 }
