cmd/director tests: a director whose port was taken is started at another one

Change: a director that ends before it is ready because the address is in use is started at another port, three starts at most. One that ends for any other reason fails its test at once, not after 30 s. No check or bound of a test changed. TestStartWithTakenAddress forces it.

--- a/cmd/director/process_test.go
+++ b/cmd/director/process_test.go
@@ -78,10 +78,28 @@
 }
 
 // startWith starts a director and waits until it is ready. It returns how long the start took. Descriptors is the system's limit on its
-// file descriptors. NewConfig returns its configuration for a given listen address. The process is killed at the end of the test.
+// file descriptors. NewConfig returns its configuration for a given listen address. The process is killed at the end of the test. The
+// address was free a moment before, so another process may have taken it; then the director is started at another one.
 func startWith(t *testing.T, descriptors int, newConfig func(listen string) string) (*process, time.Duration) {
 	t.Helper()
-	p := &process{t: t, addr: freeAddress(t), path: filepath.Join(t.TempDir(), "config.json"), done: make(chan error, 1)}
+	const starts = 3
+	for range starts - 1 {
+		if p, took, addressTaken := tryStart(t, descriptors, newConfig); !addressTaken {
+			return p, took
+		}
+	}
+	p, took, addressTaken := tryStart(t, descriptors, newConfig)
+	if addressTaken {
+		t.Fatalf("the address was taken at each of %d starts: %s", starts, p.readLog())
+	}
+	return p, took
+}
+
+// tryStart is one start of startWith. It fails the test if the director ends before it is ready, unless the reason is that another
+// process has taken its address.
+func tryStart(t *testing.T, descriptors int, newConfig func(listen string) string) (p *process, took time.Duration, addressTaken bool) {
+	t.Helper()
+	p = &process{t: t, addr: freeAddress(t), path: filepath.Join(t.TempDir(), "config.json"), done: make(chan error, 1)}
 	p.replaceConfig(newConfig(p.addr))
 	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %q", descriptors, os.Args[0]))
 	p.cmd.Env = append(os.Environ(), processVariable+"=1", "ROUTER_CONFIG="+p.path)
@@ -98,12 +116,36 @@
 	go func() { p.done <- p.cmd.Wait() }()
 	t.Cleanup(func() { p.cmd.Process.Kill() })
 	for !p.isReady() {
+		select {
+		case err := <-p.done:
+			if strings.Contains(p.readLog(), syscall.EADDRINUSE.Error()) {
+				return p, 0, true
+			}
+			t.Fatalf("ended before it was ready: %v: %s", err, p.readLog())
+		case <-time.After(time.Millisecond):
+		}
 		if time.Since(start) > startTimeout {
 			t.Fatalf("not ready after %v: %s", startTimeout, p.readLog())
 		}
-		time.Sleep(time.Millisecond)
 	}
-	return p, time.Since(start)
+	return p, time.Since(start), false
+}
+
+// TestStartWithTakenAddress checks that startWith starts a director at another address if its first one is taken.
+func TestStartWithTakenAddress(t *testing.T) {
+	const sockets = 64
+	taken := listenAnywhere(t).Addr().String()
+	starts := 0
+	p, _ := startWith(t, sockets, func(listen string) string {
+		starts++
+		if starts == 1 {
+			listen = taken
+		}
+		return configure(listen, sockets, unreachable, unreachable)
+	})
+	if starts != 2 || !p.isReady() {
+		t.Errorf("got %d starts, ready %v; want 2 starts and a director that is ready", starts, p.isReady())
+	}
 }
 
 // freeAddress returns an address of loopback at which nothing listens.
