review: a request that is written slowly beside an open one gets no answer

Tried: a client writes 48,000 bytes over 2.4 s while a request to a cache that hangs in its work is open on the same connection.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -26,6 +26,7 @@
 // an error if the case could not be played as it describes.
 var cases = map[string]func(*stage) (broken []string, err error){
 	"slow-journal": slowJournal,
+	"slow-writer":  slowWriter,
 }
 
 // maxPrinted is the number of instances of a broken rule that are printed; all are in the record.
