review: the table of documents outgrows the memory where a location has many caches

Tried: 16 bad connections that ask at full speed for 32,768 parts that no cache knows, at a director with 32 MB and 80 caches in its location (sixteen times five).

--- a/review/second/client.go
+++ b/review/second/client.go
@@ -47,6 +47,7 @@
 	name   string
 	record *record
 	socket net.Conn
+	quiet  bool // the record has no lines about its answers
 
 	mu     sync.Mutex
 	lastID uint32
@@ -56,11 +57,16 @@
 
 // connect connects a client.
 func connect(record *record, name, address string) (*client, error) {
+	return connectClient(&client{name: name, record: record, open: map[uint32]*call{}}, address)
+}
+
+// connectClient connects a client whose other fields are set.
+func connectClient(c *client, address string) (*client, error) {
 	socket, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	c := &client{name: name, record: record, socket: socket, open: map[uint32]*call{}}
+	c.socket = socket
 	go c.read()
 	return c, nil
 }
@@ -121,7 +127,9 @@
 			continue
 		}
 		waiting.endedAt, waiting.answered, waiting.response = time.Now(), true, response
-		c.record.line("client %s: answer to %d: %s, %d bytes", c.name, response.ID, waiting.outcome(), len(response.Body))
+		if !c.quiet {
+			c.record.line("client %s: answer to %d: %s, %d bytes", c.name, response.ID, waiting.outcome(), len(response.Body))
+		}
 		close(waiting.done)
 	}
 }
--- a/review/second/node.go
+++ b/review/second/node.go
@@ -43,6 +43,7 @@
 	listener net.Listener
 	received func(command)               // called with each request
 	delay    func(command) time.Duration // how long the answer takes; nil: no time
+	refuses  func(command) bool          // whether the answer is an error; nil: none is
 
 	mu        sync.Mutex
 	copies    map[copyKey]int64 // Unix millisecond at which the origin gave out the copy
@@ -110,6 +111,11 @@
 
 // answer answers a request after the node's delay, unless it was given up before.
 func (n *node) answer(conn net.Conn, writing *sync.Mutex, asked command) {
+	if n.refuses != nil && n.refuses(asked) {
+		response := refusal(asked)
+		write(conn, writing, &response)
+		return
+	}
 	n.received(asked)
 	n.record.lineAt(asked.at, "node %s: GET %s %s object %s part %s agelim %d ms next %s", n.name(), asked.ID, asked.Class,
 		asked.Object, asked.Part, asked.Order.MaxAge.Milliseconds(), asked.Source)
--- a/review/second/stage.go
+++ b/review/second/stage.go
@@ -16,6 +16,7 @@
 type stage struct {
 	record   *record
 	trouble  bool // play the disruption
+	memoryMB int  // of the director
 	folder   string
 	journal  *journal
 	nodes    []*node
@@ -27,7 +28,9 @@
 }
 
 // newStage returns an empty stage.
-func newStage(record *record, trouble bool) *stage { return &stage{record: record, trouble: trouble} }
+func newStage(record *record, trouble bool) *stage {
+	return &stage{record: record, trouble: trouble, memoryMB: 64}
+}
 
 // First ids of the nodes of each kind.
 const (
@@ -71,7 +74,7 @@
 	if adjust != nil {
 		adjust()
 	}
-	if s.director, err = startDirector(s.folder, s.journal.listener.Addr().String(), known); err != nil {
+	if s.director, err = startDirector(s.folder, s.memoryMB, s.journal.listener.Addr().String(), known); err != nil {
 		return err
 	}
 	s.record.line("the director listens at %s", s.director.address)
