--- a/review/second/case_memory.go
+++ b/review/second/case_memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"strconv"
 	"strings"
@@ -10,26 +11,36 @@
 
 	"indigochute.example/indigochute/internal/msgpack"
 	"indigochute.example/indigochute/internal/resp"
-	"indigochute.example/indigochute/internal/routing"
 )
 
+// Limits of the director.
 const (
-	smallMemoryMB  = 32 // of the smallest director
-	manyCaches     = 80 // of one location: sixteen times five
-	badConnections = 16
-	badObjects     = 64  // objects that no cache node knows
-	badParts       = 512 // parts of each, most of them out of range
-	maxOpen        = 32  // requests open on a connection
-	floodTime      = 25 * time.Second
+	smallMemoryMB = 32
+	manySockets   = 1024
 )
 
-// manyDocuments plays bad clients that ask at full speed for parts of objects that no cache node knows, at a director with little
-// memory whose location has many caches.
-func manyDocuments(s *stage) (broken []string, err error) {
-	s.memoryMB = smallMemoryMB
-	err = s.setUp(manyCaches, func() {
-		for _, cache := range s.nodes {
-			cache.refuses = func(asked command) bool { return strings.HasPrefix(asked.Object, "bad") }
+// What the bad clients do, and when.
+const (
+	maxOpen       = 32 // requests open on a connection
+	askers        = 16 // connections that ask for objects that no cache node knows, as fast as they are refused
+	badObjects    = 8192
+	badParts      = 4 // of each of these objects
+	askOnly       = 12 * time.Second
+	keepers       = 250 // connections that ask once and are kept
+	bursts        = 6   // times that many connections send many requests with bodies at once
+	burstClients  = 100
+	burstRequests = 30
+	burstBytes    = 48000
+	burstEvery    = 600 * time.Millisecond
+	afterBursts   = 2 * time.Second
+)
+
+// badClients plays bad clients of several kinds at a director with little memory.
+func badClients(s *stage) (broken []string, err error) {
+	s.memoryMB, s.sockets = smallMemoryMB, manySockets
+	err = s.setUp(5, func() {
+		for _, known := range s.nodes {
+			known.refuses = func(asked command) bool { return strings.HasPrefix(asked.Object, "bad") }
 		}
 	})
 	if err != nil {
@@ -39,70 +50,99 @@
 	calls := make(chan []*call)
 	go func() { calls <- s.load(4, 25*time.Millisecond, stop, steadyClips) }()
 	time.Sleep(2 * time.Second)
+	s.recordMemory("before the bad clients")
 	var bad sync.WaitGroup
 	if s.trouble {
-		for i := range badConnections {
-			bad.Go(func() { s.flood(i, stopBad) })
+		for i := range askers {
+			bad.Go(func() { s.ask(i, stopBad) })
 		}
 	}
-	peak := 0
-	for end := time.Now().Add(floodTime); time.Now().Before(end) && s.director.failure() == nil; time.Sleep(100 * time.Millisecond) {
-		held, err := s.director.residentKB()
-		if err != nil {
-			continue
-		}
-		if held > peak {
-			peak = held
-			s.record.line("the director holds %d kB", held)
+	time.Sleep(askOnly)
+	s.recordMemory("with requests for unknown objects")
+	var kept []*client
+	if s.trouble {
+		kept = s.askOnceAndKeep()
+	}
+	time.Sleep(time.Second)
+	s.recordMemory("with connections that are kept")
+	for range bursts {
+		if s.trouble {
+			for i := range burstClients {
+				bad.Go(func() { s.burst(i) })
+			}
 		}
+		time.Sleep(burstEvery)
+		s.recordMemory("after a burst")
 	}
+	time.Sleep(afterBursts)
+	held := s.recordMemory("at the end")
 	close(stopBad)
 	bad.Wait()
+	for _, c := range kept {
+		c.close()
+	}
 	close(stop)
 	s.recordEnds(<-calls)
-	s.record.line("the director held %d kB at most, its limit is %d kB", peak, smallMemoryMB<<10)
-	if peak == 0 {
+	if held == 0 {
 		return nil, fmt.Errorf("the memory of the director is not known")
 	}
-	if peak > smallMemoryMB<<10 {
-		broken = append(broken, fmt.Sprintf("the director held %d kB, more than its %d kB: it is killed", peak, smallMemoryMB<<10))
+	if held > smallMemoryMB<<10 {
+		broken = append(broken, fmt.Sprintf("the director held %d kB, more than its %d kB: the platform kills it", held, smallMemoryMB<<10))
 	}
 	return broken, nil
 }
 
-// flood keeps maxOpen requests open on a connection until stop is closed.
-func (s *stage) flood(number int, stop <-chan struct{}) {
+// recordMemory writes and returns how much memory the director has held at most so far, in kB. It returns 0 if that is not known.
+func (s *stage) recordMemory(when string) int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.director.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	line, _, _ := strings.Cut(rest, "\n")
+	held, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(line, "kB")))
+	s.record.line("%s the director has held %d kB of %d kB at most", when, held, smallMemoryMB<<10)
+	return held
+}
+
+// quietClient connects a client whose answers are not recorded one by one. It returns nil if it cannot connect.
+func (s *stage) quietClient(name string) *client {
+	c, err := connectClient(&client{name: name, record: s.record, quiet: true, open: map[uint32]*call{}}, s.director.address)
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
+// unknownClip returns a request for a part of an object that no cache node knows.
+func unknownClip(document int) msgpack.Message {
+	return clip(fmt.Sprintf("bad%013x", document/badParts%badObjects), strconv.Itoa(document%badParts), "1")
+}
+
+// ask keeps maxOpen requests for unknown objects open on a connection until stop is closed.
+func (s *stage) ask(number int, stop <-chan struct{}) {
 	places := make(chan struct{}, maxOpen)
 	var c *client
-	sent := 0
 	var counting sync.Mutex
 	ends := map[string]int{}
 	defer func() {
 		counting.Lock()
 		defer counting.Unlock()
-		s.record.line("bad client %d sent %d requests, by end: %v", number, sent, ends)
+		s.record.line("bad client %d asked for unknown objects; its requests by end: %v", number, maps.Clone(ends))
 	}()
-	for i := number; ; i += badConnections {
+	for i := number; ; i += askers {
 		select {
 		case <-stop:
 			return
 		case places <- struct{}{}:
 		}
 		if c == nil || c.hasEnded() {
-			connected, err := connectClient(&client{name: fmt.Sprint("bad", number), record: s.record, quiet: true, open: map[uint32]*call{}},
-				s.director.address)
-			if err != nil {
-				<-places
-				time.Sleep(10 * time.Millisecond)
-				continue
+			if c = s.quietClient(fmt.Sprint("bad", number)); c == nil {
+				return
 			}
-			c = connected
 		}
-		document := i % (badObjects * badParts)
-		asked := c.prepare(msgpack.Message{Kind: msgpack.Request, Class: clipClass, Object: fmt.Sprintf("bad%013x", document/badParts),
-			Part: strconv.Itoa(document % badParts), Group: "1", Timeout: 6 * time.Second})
+		asked := c.prepare(unknownClip(i))
 		c.socket.Write(msgpack.AppendRequest(nil, &asked.message))
-		sent++
 		go func() {
 			<-asked.done
 			counting.Lock()
@@ -113,18 +153,48 @@
 	}
 }
 
-// residentKB returns how much memory the process has held at most.
-func (p *directorProcess) residentKB() (int, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	if err != nil {
-		return 0, err
+// askOnceAndKeep returns connections that have asked once.
+func (s *stage) askOnceAndKeep() (kept []*client) {
+	for i := range keepers {
+		c := s.quietClient(fmt.Sprint("kept", i))
+		if c == nil {
+			continue
+		}
+		asked := c.prepare(unknownClip(i))
+		c.socket.Write(msgpack.AppendRequest(nil, &asked.message))
+		kept = append(kept, c)
+	}
+	s.record.line("%d bad clients have asked once and stay connected", len(kept))
+	return kept
+}
+
+// burst sends many requests with bodies at once on a connection, and closes it once all are answered.
+func (s *stage) burst(number int) {
+	c := s.quietClient(fmt.Sprint("burst", number))
+	if c == nil {
+		return
+	}
+	defer c.close()
+	var sent []*call
+	for i := range burstRequests {
+		message := unknownClip(number*burstRequests + i)
+		message.Body = make([]byte, burstBytes)
+		asked := c.prepare(message)
+		c.socket.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		c.socket.Write(msgpack.AppendRequest(nil, &asked.message))
+		sent = append(sent, asked)
+	}
+	over := time.After(2 * time.Second)
+	for _, asked := range sent {
+		select {
+		case <-asked.done:
+		case <-over:
+			return
+		}
 	}
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
-	line, _, _ := strings.Cut(rest, "\n")
-	return strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(line, "kB")))
 }
 
 // refusal returns the answer 'error' to a request.
 func refusal(asked command) resp.Response {
-	return resp.Response{ID: asked.ID, Status: resp.Failed, Fill: routing.FillUnknown}
+	return resp.Response{ID: asked.ID, Status: resp.Failed}
 }
--- a/review/second/director.go
+++ b/review/second/director.go
@@ -76,10 +76,10 @@
 }
 
 // configuration returns the configuration of the director.
-func configuration(memoryMB int, listen, journal string, known *discovery.Snapshot) ([]byte, error) {
+func configuration(memoryMB, sockets int, listen, journal string, known *discovery.Snapshot) ([]byte, error) {
 	return json.MarshalIndent(map[string]any{
 		"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "journal": journal, "flow_bytes_per_s": 8600000,
-		"link_bytes_per_s": 34400000, "limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": 512},
+		"link_bytes_per_s": 34400000, "limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"known": known, "settings": settings(1),
 	}, "", " ")
 }
@@ -96,7 +96,7 @@
 
 // startDirector starts the director with the run command of the deploy file, and waits until it accepts connections. The current
 // folder must be the root of the repository.
-func startDirector(folder string, memoryMB int, journal string, known *discovery.Snapshot) (*directorProcess, error) {
+func startDirector(folder string, memoryMB, sockets int, journal string, known *discovery.Snapshot) (*directorProcess, error) {
 	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		return nil, err
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := configuration(memoryMB, listen, journal, known)
+	raw, err := configuration(memoryMB, sockets, listen, journal, known)
 	if err != nil {
 		return nil, err
 	}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,7 +25,7 @@
 // cases has the function of each case by name. A function returns how the rule was broken, one line for each instance of it, and
 // an error if the case could not be played as it describes.
 var cases = map[string]func(*stage) (broken []string, err error){
-	"documents":    manyDocuments,
+	"bad-clients":  badClients,
 	"slow-journal": slowJournal,
 	"slow-writer":  slowWriter,
 }
--- a/review/second/stage.go
+++ b/review/second/stage.go
@@ -16,7 +16,8 @@
 type stage struct {
 	record   *record
 	trouble  bool // play the disruption
-	memoryMB int  // of the director
+	memoryMB int  // limits of the director
+	sockets  int
 	folder   string
 	journal  *journal
 	nodes    []*node
@@ -29,7 +30,7 @@
 
 // newStage returns an empty stage.
 func newStage(record *record, trouble bool) *stage {
-	return &stage{record: record, trouble: trouble, memoryMB: 64}
+	return &stage{record: record, trouble: trouble, memoryMB: 64, sockets: 512}
 }
 
 // First ids of the nodes of each kind.
@@ -74,7 +75,7 @@
 	if adjust != nil {
 		adjust()
 	}
-	if s.director, err = startDirector(s.folder, s.memoryMB, s.journal.listener.Addr().String(), known); err != nil {
+	if s.director, err = startDirector(s.folder, s.memoryMB, s.sockets, s.journal.listener.Addr().String(), known); err != nil {
 		return err
 	}
 	s.record.line("the director listens at %s", s.director.address)
