--- a/review/second/case_journal.go
+++ b/review/second/case_journal.go
@@ -1,90 +1,78 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
 	"time"
-
-	"indigochute.example/indigochute/internal/discovery"
-	"indigochute.example/indigochute/internal/msgpack"
-	"indigochute.example/indigochute/internal/routing"
 )
 
-// onTheWay is the longest time that a request may be on its way from the director to a node. The checks judge when requests
-// arrived, and the rules speak of when they were sent.
-const onTheWay = 100 * time.Millisecond
-
-// crowdedFor is how long a connection to the crowded journal service waits for its first frame.
-const crowdedFor = 2 * time.Second
+const (
+	// crowdedFor is how long a connection to the crowded journal service waits for its first frame.
+	crowdedFor = 2 * time.Second
+	// oldServiceClosesAfter is how long after a new configuration the old journal service closes its connections.
+	oldServiceClosesAfter = 1500 * time.Millisecond
+	// toldAfterReload is how long after SIGHUP all that the journal service has to tell counts as told.
+	toldAfterReload = 4 * time.Second
+)
 
-// slowJournal plays a journal service that is crowded: each new connection gets its first frame after crowdedFor, and all further
-// ones in time. A cache begins to drain. The rule on drains binds once the news count as told.
-func slowJournal(s *stage) (broken []string, err error) {
-	err = s.setUp(4, func() {
-		if s.trouble {
-			s.journal.firstFrameAfter = crowdedFor
-		}
-	})
-	if err != nil {
+// crowdedJournal plays a new configuration that moves the journal service, to which all directors come at once: it is crowded, and
+// each connection gets its first frame after crowdedFor, and all further ones in time. Soon after the move a group is purged.
+func crowdedJournal(s *stage) (broken []string, err error) {
+	if err := s.setUp(4, nil); err != nil {
 		return nil, err
 	}
 	stop := make(chan struct{})
 	calls := make(chan []*call)
-	go func() { calls <- s.load(4, 25*time.Millisecond, stop, steadyClips) }()
+	go func() { calls <- s.load(4, 25*time.Millisecond, stop, groupClips) }()
+	time.Sleep(4 * time.Second)
+	reloadedAt, err := s.moveJournal()
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	stamp := s.tellPurge()
+	time.Sleep(purgeDone - 100*time.Millisecond)
+	s.dropOlder(stamp)
 	time.Sleep(3 * time.Second)
-	drained := s.caches[0]
-	toldAt := s.tellDrain(drained)
-	time.Sleep(toldWithin + drainGrace + 6*time.Second)
 	close(stop)
-	return s.sendsToDrained(<-calls, drained, toldAt)
-}
-
-// steadyClips returns the requests of a steady load for parts of 40 clips.
-func steadyClips(i int) msgpack.Message {
-	return clip(objectID(i*7%40), fmt.Sprint(i/40%3), fmt.Sprint(i*7%40))
+	return s.oldCopies(<-calls, stamp, reloadedAt.Add(toldAfterReload+purgeGrace+slack))
 }
 
-// tellDrain makes a node drain in the journal service, and returns when that was.
-func (s *stage) tellDrain(drained *node) time.Time {
-	at := s.journal.tell(discovery.Event{Endpoints: []discovery.Endpoint{drained.endpoint(routing.Draining)}})
-	s.record.lineAt(at, "journal: node %s begins to drain", drained.name())
-	return at
-}
-
-// sendsToDrained returns the requests that reached a node, or named it as the source of a fill, although its drain had counted as
-// told for longer than the grace. It returns an error if the load was not served before.
-func (s *stage) sendsToDrained(calls []*call, drained *node, toldAt time.Time) (broken []string, err error) {
-	limit := toldAt.Add(toldWithin + drainGrace + slack + onTheWay)
-	s.record.line("requests at node %s from %s on break the rule", drained.name(), s.record.since(limit))
-	before := 0
-	for _, asked := range s.arrivals() {
-		if asked.node != drained && asked.Source != drained.name() {
-			continue
-		}
-		if asked.at.Before(toldAt) {
-			before++
-		}
-		if asked.at.After(limit) {
-			broken = append(broken, fmt.Sprintf("request %s reached node %s at %s, %.3f s after the drain was in the journal service",
-				asked.ID, asked.node.name(), s.record.since(asked.at), asked.at.Sub(toldAt).Seconds()))
-		}
+// moveJournal starts a journal service at another address, puts that address into the director's configuration and sends SIGHUP. It
+// returns when that was. The old service takes no new connections from then on, tells nothing more, and closes its connections later.
+func (s *stage) moveJournal() (reloadedAt time.Time, err error) {
+	former := s.journal
+	if s.journal, err = startJournal(s.record); err != nil {
+		return time.Time{}, err
 	}
-	s.recordEnds(calls)
-	if before == 0 {
-		return broken, fmt.Errorf("no request reached node %s before its drain", drained.name())
+	s.journal.events, _ = former.after(0)
+	if s.trouble {
+		s.journal.firstFrameAfter = crowdedFor
 	}
-	return broken, nil
-}
-
-// recordEnds writes how the requests of a load ended.
-func (s *stage) recordEnds(calls []*call) {
-	ends := map[string]int{}
-	for _, sent := range calls {
-		select {
-		case <-sent.done:
-			ends[sent.outcome()]++
-		default:
-			ends["given up by the client"]++
-		}
+	path := filepath.Join(s.folder, "config.json")
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return time.Time{}, err
+	}
+	before, after := former.listener.Addr().String(), s.journal.listener.Addr().String()
+	if !bytes.Contains(raw, []byte(before)) {
+		return time.Time{}, fmt.Errorf("the configuration does not name the journal service %s", before)
+	}
+	if err := os.WriteFile(path+".new", bytes.Replace(raw, []byte(before), []byte(after), 1), 0o600); err != nil {
+		return time.Time{}, err
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return time.Time{}, err
+	}
+	former.listener.Close()
+	s.record.line("SIGHUP: the journal service is at %s now", after)
+	reloadedAt = time.Now()
+	if err := s.director.command.Process.Signal(syscall.SIGHUP); err != nil {
+		return time.Time{}, err
 	}
-	s.record.line("the load: %d requests, by end: %v", len(calls), ends)
+	time.AfterFunc(oldServiceClosesAfter, former.close)
+	return reloadedAt, nil
 }
--- a/review/second/director.go
+++ b/review/second/director.go
@@ -20,7 +20,6 @@
 	drainGrace = time.Second           // sends to a draining node must end this long after the director was told
 	purgeGrace = time.Second           // the same for answers from copies older than a purge
 	purgeDone  = 6 * time.Second       // by then caches have dropped copies older than a purge by themselves
-	toldWithin = 7 * time.Second       // the journal service's news count as told after this time, whether they arrived or not
 	slack      = 50 * time.Millisecond // on sockets every time limit is longer by this
 )
 
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,9 +25,9 @@
 // cases has the function of each case by name. A function returns how the rule was broken, one line for each instance of it, and
 // an error if the case could not be played as it describes.
 var cases = map[string]func(*stage) (broken []string, err error){
-	"bad-clients":  badClients,
-	"slow-journal": slowJournal,
-	"slow-writer":  slowWriter,
+	"crowded-journal": crowdedJournal,
+	"bad-clients":     badClients,
+	"slow-writer":     slowWriter,
 }
 
 // maxPrinted is the number of instances of a broken rule that are printed; all are in the record.
--- a/review/second/stage.go
+++ b/review/second/stage.go
@@ -166,3 +166,26 @@
 
 // objectID returns the id of one of the objects of a case.
 func objectID(i int) string { return fmt.Sprintf("7f3a9c21e0b4%04x", 0xd000+i) }
+
+// steadyClips returns the requests of a steady load for parts of 40 clips.
+func steadyClips(i int) msgpack.Message {
+	return clip(objectID(i*7%40), fmt.Sprint(i/40%3), fmt.Sprint(i*7%40))
+}
+
+// recordEnds writes how the requests of a load ended.
+func (s *stage) recordEnds(calls []*call) {
+	ends := map[string]int{}
+	for _, sent := range calls {
+		select {
+		case <-sent.done:
+			ends[sent.outcome()]++
+		default:
+			ends["given up by the client"]++
+		}
+	}
+	s.record.line("the load: %d requests, by end: %v", len(calls), ends)
+}
+
+// onTheWay is the longest time that a request may be on its way from the director to a node. The checks judge when requests
+// arrived, and the rules speak of when they were sent.
+const onTheWay = 100 * time.Millisecond
