review: bad clients on hundreds of connections leave requests of others without an answer

Tried: 300 connections that send requests of an unknown class at full speed, beside 100 requests a second of usual clients with deadlines of 0.5 s.

--- a/review/second/client.go
+++ b/review/second/client.go
@@ -14,6 +14,7 @@
 // Classes of the settings.
 const (
 	clipClass  = "repair-clip"
+	pageClass  = "manual-page"
 	writeClass = "job-log"
 )
 
--- a/review/second/director.go
+++ b/review/second/director.go
@@ -39,7 +39,7 @@
 }
 
 // settings returns the settings of a small deployment with one zone of clients and caches: those of depot-media.
-func settings(instances int) map[string]any {
+func settings(pageDeadline time.Duration) map[string]any {
 	class := func(name, effect string, aim, deadline, window time.Duration) map[string]any {
 		return map[string]any{
 			"name": name, "aim": aim.Microseconds(), "aimStretch": 2.0, "deadline": deadline.Microseconds(), "group": "all",
@@ -49,7 +49,7 @@
 	return map[string]any{
 		"classes": []any{
 			class(clipClass, "read_like", 500*time.Millisecond, 6*time.Second, 5*time.Second),
-			class("manual-page", "read_like", 250*time.Millisecond, 2500*time.Millisecond, 5*time.Second),
+			class(pageClass, "read_like", min(250*time.Millisecond, pageDeadline), pageDeadline, 5*time.Second),
 			class(writeClass, "idempotency_key", 600*time.Millisecond, 3*time.Second, 3*time.Second),
 		},
 		"discovery": "push",
@@ -58,9 +58,9 @@
 			"heedWithin": purgeGrace.Microseconds(), "hubOf": []int{0}, "inParts": []bool{true, false, false}, "mayPassBy": false,
 			"midKind": parentKind, "noteLevel": "all", "parentBreaksAt": 2.0, "parentFloor": 0.075, "passOn": []bool{false, false, true},
 			"purgeSettles": purgeDone.Microseconds(), "siblings": "location", "sourceKind": originKind, "upperCold": 21000000,
-			"zoneBalancers": []int{instances},
+			"zoneBalancers": []int{1},
 		},
-		"family": "edge", "instances": instances,
+		"family": "edge", "instances": 1,
 		"limits": map[string]any{
 			"cancel": true, "connIdle": 30000000, "dialTimeout": 400000, "maxOpen": 20000, "maxRetryAfter": 1000000, "maxStreams": 32,
 			"mayDuplicate": false, "peerMessages": false, "probing": false, "retryAfter": true, "sendCap": 8,
@@ -75,11 +75,11 @@
 }
 
 // configuration returns the configuration of the director.
-func configuration(memoryMB, sockets int, listen, journal string, known *discovery.Snapshot) ([]byte, error) {
+func (s *stage) configuration(listen, journal string, known *discovery.Snapshot) ([]byte, error) {
 	return json.MarshalIndent(map[string]any{
 		"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "journal": journal, "flow_bytes_per_s": 8600000,
-		"link_bytes_per_s": 34400000, "limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
-		"known": known, "settings": settings(1),
+		"link_bytes_per_s": 34400000, "limits": map[string]any{"cores": 1.0, "memory_mb": s.memoryMB, "sockets": s.sockets},
+		"known": known, "settings": settings(s.pageDeadline),
 	}, "", " ")
 }
 
@@ -95,7 +95,7 @@
 
 // startDirector starts the director with the run command of the deploy file, and waits until it accepts connections. The current
 // folder must be the root of the repository.
-func startDirector(folder string, memoryMB, sockets int, journal string, known *discovery.Snapshot) (*directorProcess, error) {
+func startDirector(s *stage, journal string, known *discovery.Snapshot) (*directorProcess, error) {
 	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		return nil, err
@@ -112,20 +112,20 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := configuration(memoryMB, sockets, listen, journal, known)
+	raw, err := s.configuration(listen, journal, known)
 	if err != nil {
 		return nil, err
 	}
-	path := filepath.Join(folder, "config.json")
+	path := filepath.Join(s.folder, "config.json")
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(folder, "director.log"))
+	log, err := os.Create(filepath.Join(s.folder, "director.log"))
 	if err != nil {
 		return nil, err
 	}
 	p := &directorProcess{address: listen, command: exec.Command("/bin/sh", "-c", run), log: log, exited: make(chan struct{})}
-	p.command.Env = append(os.Environ(), "ROUTER_NAME=n0", "ROUTER_LISTEN="+listen, "ROUTER_CONFIG="+path, "TMPDIR="+folder)
+	p.command.Env = append(os.Environ(), "ROUTER_NAME=n0", "ROUTER_LISTEN="+listen, "ROUTER_CONFIG="+path, "TMPDIR="+s.folder)
 	p.command.Stdout, p.command.Stderr = log, log
 	if err := p.command.Start(); err != nil {
 		log.Close()
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -26,6 +26,7 @@
 // an error if the case could not be played as it describes.
 var cases = map[string]func(*stage) (broken []string, err error){
 	"crowded-journal": crowdedJournal,
+	"flood":           floodedDirector,
 	"bad-clients":     badClients,
 	"slow-writer":     slowWriter,
 }
@@ -34,6 +35,9 @@
 const maxPrinted = 5
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == floodCommand {
+		os.Exit(flood(os.Args[2], os.Args[3]))
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
 		os.Exit(couldNotRun)
--- a/review/second/stage.go
+++ b/review/second/stage.go
@@ -14,15 +14,17 @@
 
 // stage has the processes and stand-ins of one case.
 type stage struct {
-	record   *record
-	trouble  bool // play the disruption
-	memoryMB int  // limits of the director
-	sockets  int
-	folder   string
-	journal  *journal
-	nodes    []*node
-	caches   []*node
-	director *directorProcess
+	record       *record
+	trouble      bool // play the disruption
+	memoryMB     int  // limits of the director
+	sockets      int
+	pageDeadline time.Duration // of the class pageClass
+	patience     time.Duration // how long clients wait for an answer after its time
+	folder       string
+	journal      *journal
+	nodes        []*node
+	caches       []*node
+	director     *directorProcess
 
 	mu       sync.Mutex
 	commands []command // all requests that nodes received
@@ -30,7 +32,7 @@
 
 // newStage returns an empty stage.
 func newStage(record *record, trouble bool) *stage {
-	return &stage{record: record, trouble: trouble, memoryMB: 64, sockets: 512}
+	return &stage{record: record, trouble: trouble, memoryMB: 64, sockets: 512, pageDeadline: 2500 * time.Millisecond}
 }
 
 // First ids of the nodes of each kind.
@@ -75,7 +77,7 @@
 	if adjust != nil {
 		adjust()
 	}
-	if s.director, err = startDirector(s.folder, s.memoryMB, s.sockets, s.journal.listener.Addr().String(), known); err != nil {
+	if s.director, err = startDirector(s, s.journal.listener.Addr().String(), known); err != nil {
 		return err
 	}
 	s.record.line("the director listens at %s", s.director.address)
@@ -157,7 +159,7 @@
 		waiting.Go(func() {
 			select {
 			case <-sent.done:
-			case <-time.After(message.Timeout):
+			case <-time.After(message.Timeout + s.patience):
 				c.giveUp(sent)
 			}
 		})
