--- a/review/second/main.go
+++ b/review/second/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*stage) (broken []string, err error){
 	"crowded-journal": crowdedJournal,
 	"flood":           floodedDirector,
+	"hidden-group":    hiddenGroup,
 	"bad-clients":     badClients,
 	"slow-writer":     slowWriter,
 }
