--- a/review/second/main.go
+++ b/review/second/main.go
@@ -10,9 +10,12 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
+	"time"
 )
 
 // Exit codes.
@@ -32,6 +35,9 @@
 	"slow-writer":     slowWriter,
 }
 
+// longestCase is the time after which a case ends without a result.
+const longestCase = 110 * time.Second
+
 // maxPrinted is the number of instances of a broken rule that are printed; all are in the record.
 const maxPrinted = 5
 
@@ -56,6 +62,17 @@
 	defer record.close()
 	s := newStage(record, os.Getenv("TROUBLE") != "0")
 	defer s.close()
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
+	go func() { // all processes that the case started end with it
+		select {
+		case <-told:
+		case <-time.After(longestCase):
+		}
+		s.close()
+		record.close()
+		os.Exit(couldNotRun)
+	}()
 	record.line("case %s, disruption %t", name, s.trouble)
 	broken, err := cases[name](s)
 	if err == nil {
